--- /dev/null
+++ b/fairqueue/queue_test.go
@@ -0,0 +1,106 @@
+package fairqueue
+
+import (
+	"fmt"
+	"testing"
+
+	"greengagespoke/domain"
+)
+
+func any1(*Entry[int]) bool { return true }
+
+func push(q *Queue[int], caller domain.CallerID, class domain.Class, weight, cost float64) *Entry[int] {
+	e := &Entry[int]{Caller: caller, Class: class, Weight: weight, Cost: cost}
+	q.Push(e)
+	return e
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	q := New[int](DefaultPatientShare)
+	served := map[domain.CallerID]float64{}
+	for range 400 {
+		push(q, "heavy", domain.ClassInteractive, 1, 2)
+		push(q, "light", domain.ClassInteractive, 1, 1)
+		push(q, "double", domain.ClassInteractive, 2, 1)
+	}
+	for range 400 {
+		e := q.Serve(any1)
+		served[e.Caller] += e.Cost
+	}
+	if d := served["heavy"] - served["light"]; d < -2 || d > 2 {
+		t.Errorf("equal weights received %v and %v", served["heavy"], served["light"])
+	}
+	if d := served["double"] - 2*served["light"]; d < -3 || d > 3 {
+		t.Errorf("double weight received %v against %v", served["double"], served["light"])
+	}
+}
+
+func TestPatientReceivesItsShareAndNoMore(t *testing.T) {
+	q := New[int](0.2)
+	for range 1000 {
+		push(q, "a", domain.ClassInteractive, 1, 1)
+		push(q, "b", domain.ClassPatient, 1, 1)
+	}
+	patient := 0
+	for range 500 {
+		if q.Serve(any1).Class == domain.ClassPatient {
+			patient++
+		}
+	}
+	if patient < 99 || patient > 101 {
+		t.Errorf("patient entries received %d of 500 at a share of 0.2", patient)
+	}
+}
+
+func TestEntryThatDoesNotFitKeepsItsPlace(t *testing.T) {
+	q := New[int](DefaultPatientShare)
+	large := push(q, "a", domain.ClassInteractive, 1, 100)
+	for range 5 {
+		push(q, "b", domain.ClassInteractive, 1, 1)
+	}
+	small := func(e *Entry[int]) bool { return e.Cost < 10 }
+	for range 5 {
+		if e := q.Serve(small); e == nil || e.Caller != "b" {
+			t.Fatalf("served %+v while the large entry does not fit", e)
+		}
+	}
+	if large.Passed() != 5 {
+		t.Errorf("large entry was passed %d times, want 5", large.Passed())
+	}
+	if q.Serve(any1) != large {
+		t.Error("the large entry was lost")
+	}
+}
+
+func TestIdleCallersAreForgotten(t *testing.T) {
+	q := New[int](DefaultPatientShare)
+	for i := range 45_000 {
+		push(q, domain.CallerID(fmt.Sprint(i)), domain.ClassInteractive, 1, 1)
+		if i >= 50 {
+			q.Serve(any1)
+		}
+	}
+	if n := q.Callers(); n > 200 {
+		t.Errorf("%d callers in memory with %d waiting", n, q.Len())
+	}
+	for q.Serve(any1) != nil {
+	}
+	if n := q.Callers(); n != 0 {
+		t.Errorf("%d callers in memory of an empty queue", n)
+	}
+}
+
+func TestRemoveLeavesTheOthersInOrder(t *testing.T) {
+	q := New[int](DefaultPatientShare)
+	first := push(q, "a", domain.ClassInteractive, 1, 1)
+	second := push(q, "a", domain.ClassInteractive, 1, 1)
+	third := push(q, "a", domain.ClassInteractive, 1, 1)
+	q.Remove(second)
+	q.Remove(second)
+	if q.Waiting("a") != 2 || q.Len() != 2 {
+		t.Fatalf("waiting %d, length %d after a removal, want 2", q.Waiting("a"), q.Len())
+	}
+	if q.Serve(any1) != first || q.Serve(any1) != third {
+		t.Error("entries of a caller were served out of order")
+	}
+}
--- /dev/null
+++ b/keeper/acquire.go
@@ -0,0 +1,243 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+)
+
+// acquire queues a request, or joins it where it waits already, and waits for
+// the outcome.
+func (g *group) acquire(ctx context.Context, req domain.PlaceRequest) (domain.Grant, error) {
+	w, err := g.join(req)
+	if err != nil {
+		return domain.Grant{}, err
+	}
+	timer := time.NewTimer(g.patience(w))
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return g.leave(w)
+}
+
+// join returns the waiter of the request, which may be done already.
+func (g *group) join(req domain.PlaceRequest) (*waiter, error) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return nil, ports.ErrNotKeeper
+	}
+	w, err := g.known(req, now)
+	if err != nil {
+		return nil, err
+	}
+	if w == nil {
+		w = g.enqueue(req, now)
+	}
+	w.calls++
+	g.dispatch(now)
+	g.admit(w, now)
+	return w, nil
+}
+
+// known returns the waiter of a request that is called again, and ends older
+// attempts.
+func (g *group) known(req domain.PlaceRequest, now time.Time) (*waiter, error) {
+	r, ok := g.requests[req.ID.Key()]
+	if !ok {
+		return nil, nil
+	}
+	attempt, holder := r.identity()
+	switch {
+	case attempt > req.ID.Attempt:
+		return nil, refuseSuperseded()
+	case attempt == req.ID.Attempt && holder != req.Holder:
+		return nil, refuseDuplicate()
+	case attempt == req.ID.Attempt && r.waiter != nil:
+		return r.waiter, nil
+	case attempt == req.ID.Attempt:
+		r.grant.expires = now.Add(grantTerm)
+		return granted(r.grant.Grant, now), nil
+	}
+	g.supersede(r)
+	return nil, nil
+}
+
+// granted returns a waiter whose outcome is a grant that exists already.
+func granted(grant domain.Grant, now time.Time) *waiter {
+	w := newWaiter(domain.PlaceRequest{ID: grant.Request}, 0, now)
+	w.grant = grant
+	close(w.done)
+	return w
+}
+
+// identity returns the attempt and the holder of a request.
+func (r *request) identity() (int, domain.HostID) {
+	if r.waiter != nil {
+		return r.waiter.req.ID.Attempt, r.waiter.req.Holder
+	}
+	return r.grant.Request.Attempt, r.grant.Holder
+}
+
+// supersede ends an older attempt at a request.
+func (g *group) supersede(r *request) {
+	g.keeper.metrics.superseded.Add(1)
+	if r.waiter != nil {
+		g.finish(r.waiter, domain.Grant{}, refuseSuperseded())
+		return
+	}
+	g.end(r.grant)
+}
+
+func (g *group) enqueue(req domain.PlaceRequest, now time.Time) *waiter {
+	w := newWaiter(req, g.cost(req), now)
+	g.requests[req.ID.Key()] = &request{waiter: w}
+	g.queue.Push(&w.entry)
+	g.keeper.metrics.waiting.Add(1)
+	return w
+}
+
+// cost is what a request is charged in the fair queue: the expected tokens that
+// it occupies a decode place for, times the places that its memory is worth.
+func (g *group) cost(req domain.PlaceRequest) float64 {
+	tokens := float64(g.route(req.Route).expected(req.OutputTokens))
+	return tokens * max(1, float64(req.Pieces())/g.piecesPerSlot())
+}
+
+// piecesPerSlot is the memory of the group's decode upstreams per slot.
+func (g *group) piecesPerSlot() float64 {
+	slots, pieces := 0, 0
+	for _, d := range g.decode {
+		slots += d.up.Slots
+		pieces += d.up.Pieces
+	}
+	if slots == 0 || pieces == 0 {
+		return 1
+	}
+	return float64(pieces) / float64(slots)
+}
+
+// admit refuses a request that cannot be served, that would wait too long, or
+// whose caller has too many waiting.
+func (g *group) admit(w *waiter, now time.Time) {
+	if !w.entry.Waiting() {
+		return
+	}
+	if refusal := g.verdict(w, now); refusal != nil {
+		g.finish(w, domain.Grant{}, refusal)
+	}
+}
+
+func (g *group) verdict(w *waiter, now time.Time) error {
+	if refusal := g.impossible(w); refusal != nil {
+		return refusal
+	}
+	if w.req.MaxWaiting > 0 && g.queue.Waiting(w.req.ID.Caller) > w.req.MaxWaiting {
+		g.keeper.metrics.queueFull.Add(1)
+		return refuseQueueFull(w.req.MaxWaiting, g.predictedWait(w))
+	}
+	left, bounded := w.left(now)
+	if !bounded {
+		return nil
+	}
+	wait := g.predictedWait(w)
+	if wait+g.leadTime(w, now) > left {
+		g.keeper.metrics.late.Add(1)
+		return refuseLate(wait)
+	}
+	return nil
+}
+
+// impossible refuses a request that no decode upstream can ever hold.
+func (g *group) impossible(w *waiter) error {
+	largest := 0
+	for _, d := range g.decode {
+		largest = max(largest, d.up.Pieces)
+	}
+	if len(g.decode) == 0 || len(g.prefill) == 0 {
+		g.keeper.metrics.noUpstream.Add(1)
+		return refuseNoUpstream()
+	}
+	if w.req.Pieces() > largest {
+		g.keeper.metrics.tooLarge.Add(1)
+		return refuseTooLarge(w.req.Pieces(), largest)
+	}
+	return nil
+}
+
+// patience returns how long a call waits: until the poll time is over or until
+// the first-token target is out of reach.
+func (g *group) patience(w *waiter) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	left, bounded := w.left(now)
+	if !bounded {
+		return pollTime
+	}
+	return max(0, min(pollTime, left-g.leadTime(w, now)))
+}
+
+// leave ends a call and returns the outcome, if there is one.
+func (g *group) leave(w *waiter) (domain.Grant, error) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w.calls--
+	w.lastCall = now
+	if w.entry.Waiting() {
+		g.giveUp(w, now)
+	}
+	select {
+	case <-w.done:
+		return w.grant, w.err
+	default:
+		return domain.Grant{}, ports.ErrStillQueued
+	}
+}
+
+// giveUp refuses a waiting request whose first-token target is out of reach.
+func (g *group) giveUp(w *waiter, now time.Time) {
+	left, bounded := w.left(now)
+	if !bounded || left > g.leadTime(w, now) {
+		return
+	}
+	g.keeper.metrics.late.Add(1)
+	g.finish(w, domain.Grant{}, refuseLate(g.predictedWait(w)))
+}
+
+// finish gives a waiter its outcome.
+func (g *group) finish(w *waiter, grant domain.Grant, err error) {
+	if w.entry.Waiting() {
+		g.queue.Remove(&w.entry)
+		g.keeper.metrics.waiting.Add(-1)
+	}
+	if err != nil {
+		delete(g.requests, w.req.ID.Key())
+	}
+	for _, d := range g.decode {
+		if d.reservedFor == w {
+			d.reservedFor = nil
+		}
+	}
+	w.grant, w.err = grant, err
+	close(w.done)
+}
+
+// withdraw removes a waiting request.
+func (g *group) withdraw(id domain.AttemptID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r, ok := g.requests[id.Key()]
+	if !ok || r.waiter == nil || r.waiter.req.ID != id {
+		return
+	}
+	g.finish(r.waiter, domain.Grant{}, refuseWithdrawn())
+	g.dispatch(time.Now())
+}
--- /dev/null
+++ b/keeper/config.go
@@ -0,0 +1,60 @@
+package keeper
+
+import (
+	"time"
+
+	"greengagespoke/counters"
+	"greengagespoke/domain"
+	"greengagespoke/groups"
+	"greengagespoke/ports"
+)
+
+const (
+	// grantTerm is how long a grant lasts without renewal.
+	grantTerm = 6 * time.Second
+	// pollTime bounds one Acquire call; a request that still waits is called
+	// again by its gate.
+	pollTime = 5 * time.Second
+	// lingerTime is how long a waiting request keeps its position after its
+	// gate's last call ended.
+	lingerTime = 3 * time.Second
+	// sweepInterval is the time between checks for expired grants, abandoned
+	// waiting requests and groups that moved to another host.
+	sweepInterval = 500 * time.Millisecond
+	// ownerCacheTime is how long the owner of a group is remembered before it is
+	// computed again from the membership view.
+	ownerCacheTime = 100 * time.Millisecond
+	// crossZoneDelay is the one-way delay assumed between availability zones.
+	crossZoneDelay = 5 * time.Millisecond
+	// passedBound is the number of requests that may be served before one that
+	// does not fit, until a decode upstream is reserved for it.
+	passedBound = 32
+)
+
+// GatePeers gives access to the gates of other hosts. ports.Peers implements it.
+type GatePeers interface {
+	GatePeer(host domain.HostID) ports.GatePeer
+}
+
+// Config holds what a keeper needs.
+type Config struct {
+	// Self and Zone are the identifier and the availability zone of this host.
+	Self       domain.HostID
+	Zone       domain.Zone
+	Tables     ports.TableView
+	Membership ports.Membership
+	Upstreams  ports.Upstreams
+	// HostList shows upstreams that are leaving. It may be nil.
+	HostList ports.HostList
+	Counters *counters.Set
+	// Policy decides when places are promised; nil means ReserveThenPrefill.
+	Policy Policy
+	// GatePeers lets a gate end an attempt that a newer one replaces. It may be
+	// nil: then the attempt is canceled on its engines only.
+	GatePeers GatePeers
+	// Scope says which upstreams share a group; empty means ScopeRegion.
+	Scope groups.Scope
+	// PatientShare is the part of the service that waiting patient requests
+	// receive at least; zero means fairqueue.DefaultPatientShare.
+	PatientShare float64
+}
--- /dev/null
+++ b/keeper/counters.go
@@ -0,0 +1,61 @@
+package keeper
+
+import (
+	"expvar"
+
+	"greengagespoke/counters"
+)
+
+var (
+	defGrants = counters.Define("keeper_grants",
+		"decode places granted")
+	defReleases = counters.Define("keeper_releases",
+		"grants given back by their holders")
+	defExpired = counters.Define("keeper_expired",
+		"grants that were not renewed in time")
+	defSuperseded = counters.Define("keeper_superseded",
+		"waiting requests and grants that a newer attempt replaced")
+	defLate = counters.Define("keeper_refused_late",
+		"interactive requests refused because the first-token target could not be met")
+	defQueueFull = counters.Define("keeper_refused_queue_full",
+		"requests refused because their caller had too many waiting")
+	defTooLarge = counters.Define("keeper_refused_too_large",
+		"requests refused because no decode upstream has the memory for them")
+	defNoUpstream = counters.Define("keeper_refused_no_upstream",
+		"requests refused because the group has no usable upstream")
+	defDropped = counters.Define("keeper_waiting_dropped",
+		"waiting requests dropped because their gate stopped calling")
+	defNotKeeper = counters.Define("keeper_not_keeper",
+		"calls answered with a hint that another host keeps the group")
+	defWaiting = counters.Define("keeper_waiting",
+		"requests that wait for a grant now")
+	defHeld = counters.Define("keeper_held",
+		"grants in force now")
+	defGroups = counters.Define("keeper_groups",
+		"groups that this host keeps now")
+)
+
+// metrics holds the keeper's counters of one host.
+type metrics struct {
+	grants, releases, expired, superseded     *expvar.Int
+	late, queueFull, tooLarge, noUpstream     *expvar.Int
+	dropped, notKeeper, waiting, held, groups *expvar.Int
+}
+
+func newMetrics(set *counters.Set) *metrics {
+	return &metrics{
+		grants:     set.Int(defGrants),
+		releases:   set.Int(defReleases),
+		expired:    set.Int(defExpired),
+		superseded: set.Int(defSuperseded),
+		late:       set.Int(defLate),
+		queueFull:  set.Int(defQueueFull),
+		tooLarge:   set.Int(defTooLarge),
+		noUpstream: set.Int(defNoUpstream),
+		dropped:    set.Int(defDropped),
+		notKeeper:  set.Int(defNotKeeper),
+		waiting:    set.Int(defWaiting),
+		held:       set.Int(defHeld),
+		groups:     set.Int(defGroups),
+	}
+}
--- /dev/null
+++ b/keeper/dispatch.go
@@ -0,0 +1,158 @@
+package keeper
+
+import (
+	"fmt"
+	"time"
+
+	"greengagespoke/domain"
+	"greengagespoke/fairqueue"
+	"greengagespoke/placement"
+)
+
+// dispatch grants places to waiting requests in fair order until none fits.
+func (g *group) dispatch(now time.Time) {
+	if g.closed || g.queue.Len() == 0 {
+		return
+	}
+	g.snapshot(now)
+	for g.hasRoom() {
+		if g.queue.Serve(func(e *fairqueue.Entry[*waiter]) bool { return g.try(e, now) }) == nil {
+			return
+		}
+	}
+}
+
+// snapshot takes the state for placement decisions.
+func (g *group) snapshot(now time.Time) {
+	g.snap.CrossZone = crossZoneDelay
+	g.snap.Prefill = g.snap.Prefill[:0]
+	for _, p := range g.prefill {
+		g.snap.Prefill = append(g.snap.Prefill, p.snapshot(now))
+	}
+	g.snap.Decode = g.snap.Decode[:0]
+	for _, d := range g.decode {
+		g.snap.Decode = append(g.snap.Decode, d.snapshot())
+	}
+}
+
+// hasRoom returns whether any decode upstream could take a request.
+func (g *group) hasRoom() bool {
+	for i := range g.snap.Decode {
+		d := &g.snap.Decode[i]
+		if !d.Unusable && (d.FreeSlots > 0 || len(d.Freeing) > 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// try grants a place to a waiting request where one fits.
+func (g *group) try(e *fairqueue.Entry[*waiter], now time.Time) bool {
+	w := e.Value
+	if w.calls == 0 {
+		return false
+	}
+	pair, ok := g.decide(w)
+	if !ok {
+		g.reserve(w)
+		return false
+	}
+	g.grant(w, pair, now)
+	return true
+}
+
+// decide chooses the upstreams of a waiting request.
+func (g *group) decide(w *waiter) (placement.Pair, bool) {
+	for i, d := range g.decode {
+		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
+	}
+	return g.scheduler.Decide(&g.snap, placementRequest(&w.req), &g.decision)
+}
+
+func placementRequest(req *domain.PlaceRequest) *placement.Request {
+	return &placement.Request{
+		Zone:         req.HolderZone,
+		PromptTokens: req.PromptTokens,
+		Pieces:       req.Pieces(),
+		Keys:         req.PieceKeys,
+		Avoid:        req.Avoid,
+		Suspect:      req.Suspect,
+	}
+}
+
+// reserve keeps the next places of one decode upstream for a request that was
+// passed over too often, so that smaller requests cannot starve it.
+func (g *group) reserve(w *waiter) {
+	if w.entry.Passed() < passedBound {
+		return
+	}
+	var best *decodeState
+	for i, d := range g.decode {
+		if d.reservedFor == w {
+			return
+		}
+		if d.reservedFor != nil || g.snap.Decode[i].Unusable || d.up.Pieces < w.req.Pieces() {
+			continue
+		}
+		if best == nil || d.up.Pieces-d.pieces > best.up.Pieces-best.pieces {
+			best = d
+		}
+	}
+	if best != nil {
+		best.reservedFor = w
+	}
+}
+
+// grant gives a waiting request its place.
+func (g *group) grant(w *waiter, pair placement.Pair, now time.Time) {
+	d, p := g.decode[pair.Decode], g.prefill[pair.Prefill]
+	gr := &grant{
+		Grant: domain.Grant{
+			ID:             g.keeper.nextGrant(),
+			Request:        w.req.ID,
+			Holder:         w.req.Holder,
+			Pool:           w.req.Pool,
+			Decode:         d.up.ID,
+			Prefill:        p.up.ID,
+			Pieces:         w.req.Pieces(),
+			CachedTokens:   pair.CachedTokens,
+			ExpectedTokens: g.route(w.req.Route).expected(w.req.OutputTokens),
+			Term:           grantTerm,
+			DecodeIn:       pair.DecodeIn,
+			Suspect:        w.req.Suspect,
+		},
+		route:    w.req.Route,
+		class:    w.req.Class,
+		weight:   w.req.Weight,
+		cost:     w.entry.Cost,
+		granted:  now,
+		expires:  now.Add(grantTerm),
+		decoding: now.Add(pair.FirstToken),
+	}
+	d.take(gr)
+	p.plan(now, pair)
+	g.snap.Decode[pair.Decode] = d.snapshot()
+	g.snap.Prefill[pair.Prefill] = p.snapshot(now)
+	g.grants[gr.ID] = gr
+	g.requests[w.req.ID.Key()] = &request{grant: gr}
+	g.keeper.metrics.grants.Add(1)
+	g.keeper.metrics.held.Add(1)
+	g.keeper.metrics.waiting.Add(-1)
+	g.settle(w, gr.Grant)
+}
+
+// settle gives a waiter its grant. The queue removes the entry itself, as it is
+// being served.
+func (g *group) settle(w *waiter, grant domain.Grant) {
+	for _, d := range g.decode {
+		if d.reservedFor == w {
+			d.reservedFor = nil
+		}
+	}
+	w.grant = grant
+	close(w.done)
+}
+
+func (k *Keeper) nextGrant() domain.GrantID {
+	return domain.GrantID(fmt.Sprintf("%s/%x/%x", k.cfg.Self, k.epoch, k.sequence.Add(1)))
+}
--- /dev/null
+++ b/keeper/fake_test.go
@@ -0,0 +1,202 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"greengagespoke/counters"
+	"greengagespoke/domain"
+	"greengagespoke/groups"
+	"greengagespoke/ports"
+)
+
+// fakeTables holds one pool and its routes.
+type fakeTables struct {
+	ports.TableView
+	pool domain.Pool
+}
+
+func (f *fakeTables) Pool(name domain.PoolName) (domain.Pool, bool) {
+	return f.pool, name == f.pool.Name
+}
+
+func (f *fakeTables) Pools() []domain.Pool { return []domain.Pool{f.pool} }
+
+// fakeMembers is a fixed membership view.
+type fakeMembers struct {
+	mu      sync.Mutex
+	self    domain.HostID
+	members []domain.Member
+}
+
+func (f *fakeMembers) Self() domain.Member { return domain.Member{ID: f.self} }
+
+func (f *fakeMembers) Members() []domain.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.members)
+}
+
+func (f *fakeMembers) set(members ...domain.Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members = members
+}
+
+func member(id domain.HostID) domain.Member {
+	return domain.Member{ID: id, Zone: "dakar-1", State: domain.MemberAlive}
+}
+
+// fakeEngine lists attempts and records cancels.
+type fakeEngine struct {
+	ports.Engine
+	mu       sync.Mutex
+	running  []ports.Running
+	canceled []domain.AttemptID
+	load     ports.Load
+	events   []ports.CacheEvent
+	down     bool
+}
+
+func (f *fakeEngine) List(context.Context) ([]ports.Running, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, &ports.EngineError{Kind: ports.EngineUnreachable}
+	}
+	return slices.Clone(f.running), nil
+}
+
+func (f *fakeEngine) Cancel(_ context.Context, id domain.AttemptID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return &ports.EngineError{Kind: ports.EngineUnreachable}
+	}
+	f.canceled = append(f.canceled, id)
+	f.running = slices.DeleteFunc(f.running, func(r ports.Running) bool { return r.ID == id })
+	return nil
+}
+
+func (f *fakeEngine) Load(context.Context) (ports.Load, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return ports.Load{}, &ports.EngineError{Kind: ports.EngineUnreachable}
+	}
+	return f.load, nil
+}
+
+func (f *fakeEngine) CacheEvents(_ context.Context, after uint64) ([]ports.CacheEvent, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []ports.CacheEvent
+	for _, e := range f.events {
+		if e.Sequence > after {
+			out = append(out, e)
+		}
+	}
+	return out, nil
+}
+
+// fakeUpstreams gives one engine for each identifier.
+type fakeUpstreams struct {
+	ports.Upstreams
+	engines map[domain.UpstreamID]*fakeEngine
+}
+
+func (f *fakeUpstreams) Engine(up domain.Upstream) ports.Engine { return f.engines[up.ID] }
+
+// fakeHosts is the host list.
+type fakeHosts struct {
+	mu    sync.Mutex
+	hosts []ports.ListedHost
+}
+
+func (f *fakeHosts) Hosts(context.Context) ([]ports.ListedHost, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.hosts), nil
+}
+
+const testGroup = domain.GroupID("m/dakar/0")
+
+// bench is one keeper with its surroundings.
+type bench struct {
+	tables    *fakeTables
+	members   *fakeMembers
+	upstreams *fakeUpstreams
+	hosts     *fakeHosts
+	counters  *counters.Set
+	keeper    *Keeper
+}
+
+// size is the size of a bench's fleet.
+type size struct {
+	prefills, decodes, slots, pieces int
+}
+
+func newBench(s size, policy Policy) *bench {
+	pool := domain.Pool{Name: "m", Kind: domain.PoolModel, Model: "m"}
+	engines := make(map[domain.UpstreamID]*fakeEngine)
+	for i := range s.prefills {
+		up := domain.Upstream{ID: domain.UpstreamID(fmt.Sprintf("p%d", i)), Zone: "dakar-1", Role: domain.RolePrefill, PrefillRate: 20_000}
+		pool.Upstreams = append(pool.Upstreams, up)
+		engines[up.ID] = &fakeEngine{}
+	}
+	for i := range s.decodes {
+		up := domain.Upstream{ID: domain.UpstreamID(fmt.Sprintf("d%d", i)), Zone: "dakar-1", Role: domain.RoleDecode, Slots: s.slots, Pieces: s.pieces}
+		pool.Upstreams = append(pool.Upstreams, up)
+		engines[up.ID] = &fakeEngine{}
+	}
+	b := &bench{
+		tables:    &fakeTables{pool: pool},
+		members:   &fakeMembers{self: "h1"},
+		upstreams: &fakeUpstreams{engines: engines},
+		hosts:     &fakeHosts{},
+		counters:  counters.NewSet(),
+	}
+	b.members.set(member("h1"))
+	b.keeper = b.newKeeper("h1", policy)
+	return b
+}
+
+func (b *bench) newKeeper(self domain.HostID, policy Policy) *Keeper {
+	return New(Config{
+		Self: self, Zone: "dakar-1", Tables: b.tables, Membership: b.members, Upstreams: b.upstreams,
+		HostList: b.hosts, Counters: b.counters, Policy: policy, Scope: groups.ScopeRegion,
+	})
+}
+
+// start runs the keeper until the test ends.
+func (b *bench) start(t testing.TB, k *Keeper) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = k.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+func place(caller domain.CallerID, request string, attempt int) domain.PlaceRequest {
+	return domain.PlaceRequest{
+		ID:     domain.AttemptID{Caller: caller, Request: domain.RequestID(request), Attempt: attempt},
+		Holder: "g1", HolderZone: "dakar-1", Pool: "m", Route: "r", Class: domain.ClassPatient,
+		PromptTokens: 1000, OutputTokens: 100,
+	}
+}
+
+func interactive(req domain.PlaceRequest, left time.Duration) domain.PlaceRequest {
+	req.Class = domain.ClassInteractive
+	req.FirstTokenLeft = left
+	return req
+}
--- /dev/null
+++ b/placement/scheduler.go
@@ -0,0 +1,55 @@
+package placement
+
+// Scheduler runs the steps of a decision in order.
+type Scheduler struct {
+	steps []Step
+}
+
+// NewScheduler returns a scheduler with the standard steps. The index may be
+// nil, which means that no prefix is known to be cached.
+func NewScheduler(index *PrefixIndex) *Scheduler {
+	return &Scheduler{steps: []Step{
+		usableFilter{},
+		avoidFilter{},
+		suspectFilter{},
+		capacityFilter{},
+		prefixScore{index: index},
+		prefillScore{},
+		occupancyScore{},
+		zoneScore{},
+	}}
+}
+
+// Steps returns the names of the steps in order.
+func (s *Scheduler) Steps() []string {
+	names := make([]string, len(s.steps))
+	for i, step := range s.steps {
+		names[i] = step.Name()
+	}
+	return names
+}
+
+// Decide chooses a pair for the request. It returns false where no decode place
+// is free or promised in time, or where no prefill upstream is usable.
+func (s *Scheduler) Decide(snap *Snapshot, r *Request, d *Decision) (Pair, bool) {
+	d.reset(len(snap.Prefill), len(snap.Decode))
+	for _, step := range s.steps {
+		step.Run(snap, r, d)
+	}
+	return pick(snap, r, d)
+}
+
+func (d *Decision) reset(prefills, decodes int) {
+	d.Prefill = cleared(d.Prefill, prefills)
+	d.Decode = cleared(d.Decode, decodes)
+	d.zones = d.zones[:0]
+}
+
+func cleared(c []Candidate, n int) []Candidate {
+	if cap(c) < n {
+		return make([]Candidate, n)
+	}
+	c = c[:n]
+	clear(c)
+	return c
+}
--- /dev/null
+++ b/placement/score_zone.go
@@ -0,0 +1,20 @@
+package placement
+
+// zoneScore adds the delay between the host that holds the request and a decode
+// upstream in another availability zone, there and back.
+type zoneScore struct{}
+
+func (zoneScore) Name() string { return "zone" }
+
+func (zoneScore) Run(s *Snapshot, r *Request, d *Decision) {
+	for i := range s.Decode {
+		if s.Decode[i].Zone != r.Zone {
+			d.Decode[i].Penalty += 2 * s.CrossZone
+		}
+	}
+	for i := range s.Prefill {
+		if s.Prefill[i].Zone != r.Zone {
+			d.Prefill[i].Penalty += 2 * s.CrossZone
+		}
+	}
+}
