--- a/keeper/acquire.go
+++ b/keeper/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"greengagespoke/domain"
@@ -11,10 +12,13 @@
 // acquire queues a request, or joins it where it waits already, and waits for
 // the outcome.
 func (g *group) acquire(ctx context.Context, req domain.PlaceRequest) (domain.Grant, error) {
-	w, err := g.join(req)
+	w, promised, err := g.join(req)
 	if err != nil {
 		return domain.Grant{}, err
 	}
+	if promised != nil {
+		return g.awaitPlace(ctx, promised), nil
+	}
 	timer := time.NewTimer(g.patience(w))
 	defer timer.Stop()
 	select {
@@ -25,48 +29,44 @@
 	return g.leave(w)
 }
 
-// join returns the waiter of the request, which may be done already.
-func (g *group) join(req domain.PlaceRequest) (*waiter, error) {
+// join returns the waiter of the request, which may be done already, or the
+// request's grant where its place is not free yet.
+func (g *group) join(req domain.PlaceRequest) (*waiter, *grant, error) {
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.closed {
-		return nil, ports.ErrNotKeeper
-	}
-	w, err := g.known(req, now)
-	if err != nil {
-		return nil, err
-	}
-	if w == nil {
-		w = g.enqueue(req, now)
+		return nil, nil, ports.ErrNotKeeper
 	}
-	w.calls++
-	g.dispatch(now)
-	g.admit(w, now)
-	return w, nil
-}
-
-// known returns the waiter of a request that is called again, and ends older
-// attempts.
-func (g *group) known(req domain.PlaceRequest, now time.Time) (*waiter, error) {
 	r, ok := g.requests[req.ID.Key()]
 	if !ok {
-		return nil, nil
+		return g.enqueue(req, now), nil, nil
 	}
 	attempt, holder := r.identity()
 	switch {
 	case attempt > req.ID.Attempt:
-		return nil, refuseSuperseded()
-	case attempt == req.ID.Attempt && holder != req.Holder:
-		return nil, refuseDuplicate()
-	case attempt == req.ID.Attempt && r.waiter != nil:
-		return r.waiter, nil
-	case attempt == req.ID.Attempt:
-		r.grant.expires = now.Add(grantTerm)
-		return granted(r.grant.Grant, now), nil
+		return nil, nil, refuseSuperseded()
+	case attempt < req.ID.Attempt:
+		return g.supersede(r, req, now), nil, nil
+	case holder != req.Holder:
+		return nil, nil, refuseDuplicate()
+	case r.waiter != nil:
+		r.waiter.calls++
+		g.dispatch(now)
+		return r.waiter, nil, nil
 	}
-	g.supersede(r)
-	return nil, nil
+	return g.rejoin(r.grant, now)
+}
+
+// rejoin answers a call for a request that has its grant.
+func (g *group) rejoin(gr *grant, now time.Time) (*waiter, *grant, error) {
+	gr.expires = now.Add(grantTerm)
+	if !gr.promised {
+		return granted(gr.Grant, now), nil, nil
+	}
+	gr.asking++
+	g.dispatch(now)
+	return nil, gr, nil
 }
 
 // granted returns a waiter whose outcome is a grant that exists already.
@@ -85,20 +85,42 @@
 	return r.grant.Request.Attempt, r.grant.Holder
 }
 
-// supersede ends an older attempt at a request.
-func (g *group) supersede(r *request) {
+// supersede ends an older attempt at a request and queues the newer one.
+func (g *group) supersede(r *request, req domain.PlaceRequest, now time.Time) *waiter {
+	g.endOlder(r)
+	return g.enqueue(req, now)
+}
+
+// endOlder ends an attempt that a newer one replaces.
+func (g *group) endOlder(r *request) {
 	g.keeper.metrics.superseded.Add(1)
 	if r.waiter != nil {
 		g.finish(r.waiter, domain.Grant{}, refuseSuperseded())
 		return
 	}
-	g.end(r.grant)
+	g.revoke(r.grant, true)
 }
 
+// enqueue queues a request and serves the queue.
 func (g *group) enqueue(req domain.PlaceRequest, now time.Time) *waiter {
+	w := g.wait(req, now)
+	g.dispatch(now)
+	g.admit(w, now)
+	return w
+}
+
+// wait adds a request to the queue, with one call that waits for its outcome. It
+// is served after older attempts at it have ended on their engines.
+func (g *group) wait(req domain.PlaceRequest, now time.Time) *waiter {
 	w := newWaiter(req, g.cost(req), now)
+	w.calls = 1
 	g.requests[req.ID.Key()] = &request{waiter: w}
 	g.queue.Push(&w.entry)
+	for id, gr := range g.revoking {
+		if id.Key() == req.ID.Key() {
+			g.block(w, gr)
+		}
+	}
 	g.keeper.metrics.waiting.Add(1)
 	return w
 }
@@ -154,21 +176,32 @@
 	return nil
 }
 
-// impossible refuses a request that no decode upstream can ever hold.
+// impossible refuses a request that no upstream of the group can ever run.
 func (g *group) impossible(w *waiter) error {
-	largest := 0
+	largest, allowed := 0, false
 	for _, d := range g.decode {
 		largest = max(largest, d.up.Pieces)
+		allowed = allowed || (d.up.Pieces >= w.req.Pieces() && !slices.Contains(w.req.Avoid, d.up.ID))
 	}
-	if len(g.decode) == 0 || len(g.prefill) == 0 {
-		g.keeper.metrics.noUpstream.Add(1)
-		return refuseNoUpstream()
+	if allowed && g.canPrefill(w) {
+		return nil
 	}
-	if w.req.Pieces() > largest {
+	if len(g.decode) > 0 && w.req.Pieces() > largest {
 		g.keeper.metrics.tooLarge.Add(1)
 		return refuseTooLarge(w.req.Pieces(), largest)
 	}
-	return nil
+	g.keeper.metrics.noUpstream.Add(1)
+	return refuseNoUpstream()
+}
+
+// canPrefill returns whether the request may use any prefill upstream.
+func (g *group) canPrefill(w *waiter) bool {
+	for _, p := range g.prefill {
+		if !slices.Contains(w.req.Avoid, p.up.ID) {
+			return true
+		}
+	}
+	return false
 }
 
 // patience returns how long a call waits: until the poll time is over or until
--- /dev/null
+++ b/keeper/attempts_test.go
@@ -0,0 +1,153 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+)
+
+// fakeGates records which gates were told to end an attempt.
+type fakeGates struct {
+	told chan domain.HostID
+	key  domain.RequestKey
+}
+
+func (f *fakeGates) GatePeer(host domain.HostID) ports.GatePeer {
+	return fakeGate{gates: f, host: host}
+}
+
+type fakeGate struct {
+	gates *fakeGates
+	host  domain.HostID
+}
+
+func (f fakeGate) Supersede(_ context.Context, key domain.RequestKey, _ int) (bool, error) {
+	time.Sleep(10 * time.Millisecond)
+	f.gates.key = key
+	f.gates.told <- f.host
+	return true, nil
+}
+
+// TestNewerAttemptReplacesTheGrant checks that the older attempt has ended at its
+// gate and on its engine before the newer one receives a place.
+func TestNewerAttemptReplacesTheGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 2, 4, 100}, nil)
+		gates := &fakeGates{told: make(chan domain.HostID, 1)}
+		b.keeper.cfg.GatePeers = gates
+		defer b.start(t, b.keeper)()
+		older := place("a", "1", 1)
+		grant := mustAcquire(t, b.keeper, older)
+		b.engine(grant.Decode).run(decoding(older))
+		newer := place("a", "1", 2)
+		newer.Holder = "g2"
+		mustAcquire(t, b.keeper, newer)
+		if !b.engine(grant.Decode).wasCanceled(older.ID) || !b.engine("p0").wasCanceled(older.ID) {
+			t.Error("newer attempt granted before the older one was canceled")
+		}
+		if host := <-gates.told; host != "g1" || gates.key != older.ID.Key() {
+			t.Errorf("told %s about %v", host, gates.key)
+		}
+		_, err := b.keeper.Acquire(t.Context(), testGroup, older)
+		wantRefusal(t, err, domain.RefusalSuperseded)
+		lost, err := b.keeper.Renew(t.Context(), testGroup, "g1", []domain.Grant{grant})
+		if err != nil || len(lost) != 1 {
+			t.Errorf("renewal of a revoked grant: lost %v, %v", lost, err)
+		}
+	})
+}
+
+// TestNewerAttemptIsNotHeldUpForever checks the bound where the older attempt's
+// engine does not answer.
+func TestNewerAttemptIsNotHeldUpForever(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 2, 4, 100}, nil)
+		defer b.start(t, b.keeper)()
+		grant := mustAcquire(t, b.keeper, place("a", "1", 1))
+		b.engine(grant.Decode).setDown(true)
+		began := time.Now()
+		mustAcquireInTime(t, b.keeper, place("a", "1", 2), 10*time.Second)
+		if waited := time.Since(began); waited != supersedeBound {
+			t.Errorf("waited %v, want the bound of %v", waited, supersedeBound)
+		}
+	})
+}
+
+func TestNewerAttemptReplacesTheWaitingOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 1, 1, 100}, nil)
+		defer b.start(t, b.keeper)()
+		held := mustAcquire(t, b.keeper, place("b", "0", 1))
+		outcome := make(chan error)
+		go func() {
+			_, err := b.keeper.Acquire(t.Context(), testGroup, place("a", "1", 1))
+			outcome <- err
+		}()
+		synctest.Wait()
+		go func() {
+			time.Sleep(time.Second)
+			release(t, b.keeper, held)
+		}()
+		mustAcquire(t, b.keeper, place("a", "1", 2))
+		wantRefusal(t, <-outcome, domain.RefusalSuperseded)
+	})
+}
+
+func TestSuspectsNeverShareAnUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{3, 2, 4, 100}, nil)
+		defer b.start(t, b.keeper)()
+		used := make(map[domain.UpstreamID]bool)
+		var grants []domain.Grant
+		for i := range 2 {
+			req := place("a", fmt.Sprint(i), 1)
+			req.Suspect = true
+			grant := mustAcquire(t, b.keeper, req)
+			if used[grant.Decode] {
+				t.Errorf("two suspects on %s", grant.Decode)
+			}
+			used[grant.Decode] = true
+			grants = append(grants, grant)
+		}
+		go func() {
+			time.Sleep(time.Second)
+			release(t, b.keeper, grants[0])
+		}()
+		third := place("a", "third", 1)
+		third.Suspect = true
+		if grant := mustAcquire(t, b.keeper, third); grant.Decode != grants[0].Decode {
+			t.Errorf("third suspect on %s with another suspect", grant.Decode)
+		}
+	})
+}
+
+func TestLargeRequestIsNotStarved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 1, 4, 8}, nil)
+		defer b.start(t, b.keeper)()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for worker := range 4 {
+			go func() {
+				for n := 0; ctx.Err() == nil; n++ {
+					grant, err := b.keeper.Acquire(ctx, testGroup, place("small", fmt.Sprint(worker, n), 1))
+					if err != nil {
+						continue
+					}
+					time.Sleep(time.Duration(900+(worker+n)%7*30) * time.Millisecond)
+					release(t, b.keeper, grant)
+				}
+			}()
+		}
+		synctest.Wait()
+		large := place("large", "1", 1)
+		large.PromptTokens = 7 * domain.PieceTokens
+		mustAcquireInTime(t, b.keeper, large, 30*time.Second)
+		cancel()
+	})
+}
--- a/keeper/counters.go
+++ b/keeper/counters.go
@@ -31,6 +31,28 @@
 		"requests that wait for a grant now")
 	defHeld = counters.Define("keeper_held",
 		"grants in force now")
+	defAdopted = counters.Define("keeper_adopted",
+		"grants of another keeper taken over by renewal")
+	defPromises = counters.Define("keeper_promises",
+		"grants of places that were predicted to become free")
+	defPromisesLate = counters.Define("keeper_promises_late",
+		"promised places that became free later than predicted")
+	defPromisesMoved = counters.Define("keeper_promises_moved",
+		"promised places given on another upstream")
+	defStrays = counters.Define("keeper_strays_canceled",
+		"cancels of attempts that no grant covered")
+	defCancels = counters.Define("keeper_cancels",
+		"cancels of attempts sent to engines")
+	defTookOut = counters.Define("keeper_upstreams_taken_out",
+		"times that an upstream was left out after failures")
+	defEngineErrors = counters.Define("keeper_engine_errors",
+		"failed listings, load reports and cache event calls")
+	defGateErrors = counters.Define("keeper_gate_errors",
+		"failed calls that tell a gate of the end of its attempt")
+	defHostListErrors = counters.Define("keeper_host_list_errors",
+		"failed readings of the host list")
+	defCacheEvents = counters.Define("keeper_cache_events",
+		"cache events taken in")
 	defGroups = counters.Define("keeper_groups",
 		"groups that this host keeps now")
 )
@@ -40,22 +62,38 @@
 	grants, releases, expired, superseded     *expvar.Int
 	late, queueFull, tooLarge, noUpstream     *expvar.Int
 	dropped, notKeeper, waiting, held, groups *expvar.Int
+	adopted                                   *expvar.Int
+	promises, promisesLate, promisesMoved     *expvar.Int
+	strays, cancels, tookOut                  *expvar.Int
+	engineErrors, gateErrors, hostListErrors  *expvar.Int
+	cacheEvents                               *expvar.Int
 }
 
 func newMetrics(set *counters.Set) *metrics {
 	return &metrics{
-		grants:     set.Int(defGrants),
-		releases:   set.Int(defReleases),
-		expired:    set.Int(defExpired),
-		superseded: set.Int(defSuperseded),
-		late:       set.Int(defLate),
-		queueFull:  set.Int(defQueueFull),
-		tooLarge:   set.Int(defTooLarge),
-		noUpstream: set.Int(defNoUpstream),
-		dropped:    set.Int(defDropped),
-		notKeeper:  set.Int(defNotKeeper),
-		waiting:    set.Int(defWaiting),
-		held:       set.Int(defHeld),
-		groups:     set.Int(defGroups),
+		grants:         set.Int(defGrants),
+		releases:       set.Int(defReleases),
+		expired:        set.Int(defExpired),
+		superseded:     set.Int(defSuperseded),
+		late:           set.Int(defLate),
+		queueFull:      set.Int(defQueueFull),
+		tooLarge:       set.Int(defTooLarge),
+		noUpstream:     set.Int(defNoUpstream),
+		dropped:        set.Int(defDropped),
+		notKeeper:      set.Int(defNotKeeper),
+		waiting:        set.Int(defWaiting),
+		held:           set.Int(defHeld),
+		groups:         set.Int(defGroups),
+		adopted:        set.Int(defAdopted),
+		promises:       set.Int(defPromises),
+		promisesLate:   set.Int(defPromisesLate),
+		promisesMoved:  set.Int(defPromisesMoved),
+		strays:         set.Int(defStrays),
+		cancels:        set.Int(defCancels),
+		tookOut:        set.Int(defTookOut),
+		engineErrors:   set.Int(defEngineErrors),
+		gateErrors:     set.Int(defGateErrors),
+		hostListErrors: set.Int(defHostListErrors),
+		cacheEvents:    set.Int(defCacheEvents),
 	}
 }
--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -9,17 +9,59 @@
 	"greengagespoke/placement"
 )
 
-// dispatch grants places to waiting requests in fair order until none fits.
+// lookAheadInterval is the time between dispatches while requests wait and the
+// policy promises predicted releases.
+const lookAheadInterval = 20 * time.Millisecond
+
+// dispatch confirms promised places and grants the others to waiting requests in
+// fair order until none fits.
 func (g *group) dispatch(now time.Time) {
-	if g.closed || g.queue.Len() == 0 {
+	if g.closed {
+		return
+	}
+	g.confirmPromises(now)
+	if g.queue.Len() == 0 {
 		return
 	}
 	g.snapshot(now)
 	for g.hasRoom() {
-		if g.queue.Serve(func(e *fairqueue.Entry[*waiter]) bool { return g.try(e, now) }) == nil {
-			return
+		served := g.queue.Serve(func(e *fairqueue.Entry[*waiter]) bool { return g.try(e, now) })
+		g.refuseHopeless()
+		if served == nil {
+			break
+		}
+	}
+	g.scheduleLookAhead()
+}
+
+// scheduleLookAhead dispatches again in a moment where time alone may make a
+// promise possible.
+func (g *group) scheduleLookAhead() {
+	if g.queue.Len() == 0 || !g.keeper.cfg.Policy.LooksAhead() {
+		return
+	}
+	if g.lookAhead == nil {
+		g.lookAhead = time.AfterFunc(lookAheadInterval, g.lookAgain)
+		return
+	}
+	g.lookAhead.Reset(lookAheadInterval)
+}
+
+func (g *group) lookAgain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatch(time.Now())
+}
+
+// refuseHopeless refuses the requests that were found to miss their target.
+func (g *group) refuseHopeless() {
+	for _, w := range g.hopeless {
+		if w.entry.Waiting() {
+			g.keeper.metrics.late.Add(1)
+			g.finish(w, domain.Grant{}, refuseLate(g.predictedWait(w)))
 		}
 	}
+	g.hopeless = g.hopeless[:0]
 }
 
 // snapshot takes the state for placement decisions.
@@ -31,8 +73,25 @@
 	}
 	g.snap.Decode = g.snap.Decode[:0]
 	for _, d := range g.decode {
-		g.snap.Decode = append(g.snap.Decode, d.snapshot())
+		state := d.snapshot(now)
+		state.Freeing = g.freeing(d, now)
+		g.snap.Decode = append(g.snap.Decode, state)
+	}
+}
+
+// freeing returns the releases of a full decode upstream that may be promised.
+func (g *group) freeing(d *decodeState, now time.Time) []placement.Freeing {
+	policy := g.keeper.cfg.Policy
+	if !policy.LooksAhead() || d.freeSlots() > 0 {
+		return nil
+	}
+	g.ends = g.ends[:0]
+	for _, gr := range d.grants {
+		if !gr.promised {
+			g.ends = append(g.ends, PredictedEnd{In: g.remaining(gr, now), Pieces: gr.Pieces})
+		}
 	}
+	return policy.Freeing(g.ends, nil)
 }
 
 // hasRoom returns whether any decode upstream could take a request.
@@ -49,7 +108,7 @@
 // try grants a place to a waiting request where one fits.
 func (g *group) try(e *fairqueue.Entry[*waiter], now time.Time) bool {
 	w := e.Value
-	if w.calls == 0 {
+	if w.calls == 0 || w.blockers > 0 {
 		return false
 	}
 	pair, ok := g.decide(w)
@@ -57,6 +116,10 @@
 		g.reserve(w)
 		return false
 	}
+	if left, bounded := w.left(now); bounded && pair.FirstToken > left {
+		g.hopeless = append(g.hopeless, w)
+		return false
+	}
 	g.grant(w, pair, now)
 	return true
 }
@@ -125,13 +188,22 @@
 		class:    w.req.Class,
 		weight:   w.req.Weight,
 		cost:     w.entry.Cost,
+		limit:    w.req.OutputTokens,
 		granted:  now,
 		expires:  now.Add(grantTerm),
 		decoding: now.Add(pair.FirstToken),
+		avoid:    w.req.Avoid,
 	}
 	d.take(gr)
-	p.plan(now, pair)
-	g.snap.Decode[pair.Decode] = d.snapshot()
+	if pair.DecodeIn > 0 {
+		gr.due = now.Add(pair.DecodeIn)
+		d.promise(gr)
+		g.keeper.metrics.promises.Add(1)
+	}
+	p.plan(now, pair, w.req.Suspect)
+	g.index.Expect(p.position, w.req.PieceKeys)
+	g.snap.Decode[pair.Decode] = d.snapshot(now)
+	g.snap.Decode[pair.Decode].Freeing = g.freeing(d, now)
 	g.snap.Prefill[pair.Prefill] = p.snapshot(now)
 	g.grants[gr.ID] = gr
 	g.requests[w.req.ID.Key()] = &request{grant: gr}
--- a/keeper/fake_test.go
+++ b/keeper/fake_test.go
@@ -24,6 +24,8 @@
 	return f.pool, name == f.pool.Name
 }
 
+func (f *fakeTables) Revision() domain.Revision { return 1 }
+
 func (f *fakeTables) Pools() []domain.Pool { return []domain.Pool{f.pool} }
 
 // fakeMembers is a fixed membership view.
@@ -103,6 +105,24 @@
 	return out, nil
 }
 
+func (f *fakeEngine) run(r ports.Running) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running = append(f.running, r)
+}
+
+func (f *fakeEngine) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakeEngine) wasCanceled(id domain.AttemptID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Contains(f.canceled, id)
+}
+
 // fakeUpstreams gives one engine for each identifier.
 type fakeUpstreams struct {
 	ports.Upstreams
@@ -123,6 +143,12 @@
 	return slices.Clone(f.hosts), nil
 }
 
+func (f *fakeHosts) leave(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = append(f.hosts, ports.ListedHost{Name: name, Leaving: true})
+}
+
 const testGroup = domain.GroupID("m/dakar/0")
 
 // bench is one keeper with its surroundings.
@@ -165,6 +191,8 @@
 	return b
 }
 
+func (b *bench) engine(id domain.UpstreamID) *fakeEngine { return b.upstreams.engines[id] }
+
 func (b *bench) newKeeper(self domain.HostID, policy Policy) *Keeper {
 	return New(Config{
 		Self: self, Zone: "dakar-1", Tables: b.tables, Membership: b.members, Upstreams: b.upstreams,
--- a/keeper/grants.go
+++ b/keeper/grants.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"greengagespoke/domain"
 )
 
@@ -16,36 +19,40 @@
 	var lost []domain.GrantID
 	for _, wanted := range grants {
 		gr, ok := g.grants[wanted.ID]
-		if ok && gr.Holder == holder {
+		if ok && gr.Holder == holder && !gr.revoking {
 			gr.expires = now.Add(grantTerm)
 			continue
 		}
-		if !g.adoptGrant(holder, wanted, now) {
+		if ok || !g.adoptGrant(holder, wanted, now) {
 			lost = append(lost, wanted.ID)
 		}
 	}
 	return lost
 }
 
-// adoptGrant takes over a grant that another keeper gave. It is lost where its
-// upstream is gone or where a newer attempt is known.
+// adoptGrant takes over a grant that another keeper gave. It is lost where it
+// was revoked, where its upstream is gone or where another attempt is known.
 func (g *group) adoptGrant(holder domain.HostID, wanted domain.Grant, now time.Time) bool {
 	d, ok := g.byDecode[wanted.Decode]
 	if !ok || g.closed {
 		return false
 	}
+	if _, revoked := g.lost[wanted.ID]; revoked {
+		return false
+	}
 	if r, ok := g.requests[wanted.Request.Key()]; ok {
 		attempt, _ := r.identity()
 		if attempt >= wanted.Request.Attempt {
 			return false
 		}
-		g.supersede(r)
+		g.endOlder(r)
 	}
 	wanted.Holder = holder
-	gr := &grant{Grant: wanted, granted: now, expires: now.Add(grantTerm), decoding: now}
+	gr := &grant{Grant: wanted, granted: now, expires: now.Add(grantTerm), decoding: now, limit: wanted.ExpectedTokens}
 	d.take(gr)
 	g.grants[gr.ID] = gr
 	g.requests[wanted.Request.Key()] = &request{grant: gr}
+	g.keeper.metrics.adopted.Add(1)
 	g.keeper.metrics.held.Add(1)
 	return true
 }
@@ -58,19 +65,58 @@
 	for _, r := range releases {
 		gr, ok := g.grants[r.Grant.ID]
 		if !ok {
+			g.releaseUnknown(r, now)
 			continue
 		}
 		g.learn(gr, r, now)
-		g.end(gr)
+		g.judge(gr, r.Reason, now)
 		g.keeper.metrics.releases.Add(1)
+		if !gr.revoking {
+			g.end(gr, now)
+		}
 	}
 	g.dispatch(now)
 }
 
+// releaseUnknown forgets the listed attempt of a grant that another keeper gave.
+func (g *group) releaseUnknown(r domain.Release, now time.Time) {
+	g.ended[r.Grant.Request] = now
+	if d, ok := g.byDecode[r.Grant.Decode]; ok {
+		d.dropStray(r.Grant.Request)
+	}
+}
+
+// judge notes how a grant ended on its upstreams. After a failure they are asked
+// at once whether they still answer.
+func (g *group) judge(gr *grant, reason domain.ReleaseReason, now time.Time) {
+	for _, u := range g.upstreams() {
+		if u.up.ID != gr.Decode && u.up.ID != gr.Prefill {
+			continue
+		}
+		switch reason {
+		case domain.ReleaseDone:
+			u.failedGrants = 0
+		case domain.ReleaseFailed:
+			if u.grantFailed(now) {
+				g.keeper.metrics.tookOut.Add(1)
+				klog.InfoS("upstream rests after failed grants", "upstream", u.up.ID, "group", g.id)
+			}
+			g.list(u)
+		}
+	}
+}
+
 // learn takes in the length and pace of a finished answer, and charges the
-// caller for what it was longer or shorter than expected.
+// caller for what it was longer or shorter than expected. Failed grants are not
+// charged.
 func (g *group) learn(gr *grant, r domain.Release, now time.Time) {
-	if r.Reason != domain.ReleaseDone || r.OutputTokens <= 0 || gr.route == "" {
+	if gr.route == "" {
+		return
+	}
+	if r.Reason == domain.ReleaseFailed {
+		g.queue.Charge(gr.Request.Caller, gr.class, gr.weight, -gr.cost)
+	}
+	if r.Reason != domain.ReleaseDone || r.OutputTokens <= 0 {
 		return
 	}
 	g.route(gr.route).add(r.OutputTokens)
@@ -82,11 +128,16 @@
 }
 
 // end removes a grant and frees its place.
-func (g *group) end(gr *grant) {
+func (g *group) end(gr *grant, now time.Time) {
 	if g.grants[gr.ID] != gr {
 		return
 	}
 	delete(g.grants, gr.ID)
+	g.ended[gr.Request] = now
+	if gr.revoking {
+		delete(g.revoking, gr.Request)
+		g.lost[gr.ID] = now
+	}
 	key := gr.Request.Key()
 	if r, ok := g.requests[key]; ok && r.grant == gr {
 		delete(g.requests, key)
@@ -104,21 +155,29 @@
 	defer g.mu.Unlock()
 	for _, gr := range g.overdue(now) {
 		g.keeper.metrics.expired.Add(1)
-		g.end(gr)
+		g.revoke(gr, false)
 	}
 	for _, w := range g.abandoned(now) {
 		g.keeper.metrics.dropped.Add(1)
 		g.finish(w, domain.Grant{}, refuseWithdrawn())
 	}
+	g.forgetEnded(now)
 	g.dispatch(now)
 }
 
+// forgetEnded drops old records of ended attempts and revoked grants.
+func (g *group) forgetEnded(now time.Time) {
+	old := func(at time.Time) bool { return now.Sub(at) > endedTime }
+	maps.DeleteFunc(g.ended, func(_ domain.AttemptID, at time.Time) bool { return old(at) })
+	maps.DeleteFunc(g.lost, func(_ domain.GrantID, at time.Time) bool { return old(at) })
+}
+
 // overdue returns the grants that were not renewed in time, sorted, so that
 // runs under virtual time repeat.
 func (g *group) overdue(now time.Time) []*grant {
 	var out []*grant
 	for _, gr := range g.grants {
-		if now.After(gr.expires) {
+		if now.After(gr.expires) && !gr.revoking {
 			out = append(out, gr)
 		}
 	}
--- a/keeper/group.go
+++ b/keeper/group.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,6 @@
 // by it.
 type group struct {
 	id     domain.GroupID
-	pool   domain.PoolName
 	keeper *Keeper
 	// confirmed is the time of the last check that this host keeps the group, in
 	// nanoseconds since the epoch.
@@ -24,20 +24,34 @@
 
 	mu      sync.Mutex
 	closed  bool
-	def     groups.Group
 	prefill []*prefillState
 	decode  []*decodeState
-	// byDecode finds decode upstreams by identifier.
+	// byDecode finds decode upstreams by identifier, with those that left the
+	// pools table and still have grants.
 	byDecode map[domain.UpstreamID]*decodeState
-	grants   map[domain.GrantID]*grant
-	requests map[domain.RequestKey]*request
-	queue    *fairqueue.Queue[*waiter]
+	// prefillAt finds prefill upstreams by their position in the prefix index.
+	prefillAt [groups.MaxUpstreams]*prefillState
+	grants    map[domain.GrantID]*grant
+	requests  map[domain.RequestKey]*request
+	// revoking holds grants whose attempts are being canceled.
+	revoking map[domain.AttemptID]*grant
+	// ended and lost remember ended attempts and revoked grants for a while.
+	ended map[domain.AttemptID]time.Time
+	lost  map[domain.GrantID]time.Time
+	queue *fairqueue.Queue[*waiter]
+	// hopeless are waiting requests found to miss their target while they were
+	// offered a place.
+	hopeless []*waiter
 	lengths  map[domain.RouteName]*lengths
 	pace     pace
 
+	index     *placement.PrefixIndex
 	scheduler *placement.Scheduler
 	snap      placement.Snapshot
 	decision  placement.Decision
+	ends      []PredictedEnd
+	// lookAhead dispatches again as predicted releases come closer.
+	lookAhead *time.Timer
 }
 
 // request is the state of one request: it waits, or it has a grant.
@@ -49,26 +63,44 @@
 // grant is a grant in force.
 type grant struct {
 	domain.Grant
-	route    domain.RouteName
-	class    domain.Class
-	weight   float64
-	cost     float64
-	granted  time.Time
-	expires  time.Time
+	route  domain.RouteName
+	class  domain.Class
+	weight float64
+	cost   float64
+	// limit is the largest output in tokens.
+	limit   int
+	granted time.Time
+	expires time.Time
+	// decoding is when decoding started, as predicted or observed.
 	decoding time.Time
+	avoid    []domain.UpstreamID
+	// promised says that the place is not free yet, due when it is predicted to
+	// be, asking how many calls wait for it; confirmed is closed when it is free.
+	promised  bool
+	due       time.Time
+	asking    int
+	confirmed chan struct{}
+	// revoking says that the attempt is being canceled on its engines, and
+	// replacement is the newer attempt that waits for that.
+	revoking    bool
+	replacement *waiter
 }
 
 func newGroup(k *Keeper, def groups.Group) *group {
+	index := placement.NewPrefixIndex(groups.MaxUpstreams, placement.DefaultIndexPieces)
 	g := &group{
 		id:        def.ID,
-		pool:      def.Pool,
 		keeper:    k,
 		byDecode:  make(map[domain.UpstreamID]*decodeState),
 		grants:    make(map[domain.GrantID]*grant),
 		requests:  make(map[domain.RequestKey]*request),
+		revoking:  make(map[domain.AttemptID]*grant),
+		ended:     make(map[domain.AttemptID]time.Time),
+		lost:      make(map[domain.GrantID]time.Time),
 		queue:     fairqueue.New[*waiter](k.cfg.PatientShare),
 		lengths:   make(map[domain.RouteName]*lengths),
-		scheduler: placement.NewScheduler(nil),
+		index:     index,
+		scheduler: placement.NewScheduler(index),
 	}
 	g.update(def)
 	return g
@@ -85,7 +117,6 @@
 func (g *group) update(def groups.Group) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.def = def
 	prefills := make(map[domain.UpstreamID]*prefillState, len(g.prefill))
 	for _, p := range g.prefill {
 		prefills[p.up.ID] = p
@@ -94,25 +125,50 @@
 	for _, up := range def.Upstreams {
 		switch up.Role {
 		case domain.RolePrefill:
-			p, ok := prefills[up.ID]
-			if !ok {
-				p = &prefillState{}
-			}
-			p.up = up
-			g.prefill = append(g.prefill, p)
+			p := prefills[up.ID]
+			delete(prefills, up.ID)
+			g.addPrefill(p, up)
 		case domain.RoleDecode:
-			d, ok := g.byDecode[up.ID]
-			if !ok {
-				d = &decodeState{grants: make(map[domain.GrantID]*grant)}
-				g.byDecode[up.ID] = d
-			}
-			d.up = up
-			g.decode = append(g.decode, d)
+			g.addDecode(up)
 		}
 	}
+	for _, gone := range prefills {
+		g.index.Forget(gone.position)
+		g.prefillAt[gone.position] = nil
+	}
+	g.forgetDecodes()
 	g.dispatch(time.Now())
 }
 
+func (g *group) addPrefill(p *prefillState, up domain.Upstream) {
+	if p == nil {
+		p = &prefillState{position: slices.Index(g.prefillAt[:], nil)}
+		g.prefillAt[p.position] = p
+	}
+	p.up = up
+	g.prefill = append(g.prefill, p)
+}
+
+func (g *group) addDecode(up domain.Upstream) {
+	d, ok := g.byDecode[up.ID]
+	if !ok {
+		d = &decodeState{}
+		g.byDecode[up.ID] = d
+	}
+	d.up = up
+	g.decode = append(g.decode, d)
+}
+
+// forgetDecodes drops decode upstreams that are neither in the pools table nor
+// granted.
+func (g *group) forgetDecodes() {
+	for id, d := range g.byDecode {
+		if len(d.grants) == 0 && !slices.Contains(g.decode, d) {
+			delete(g.byDecode, id)
+		}
+	}
+}
+
 // close ends all waiting calls, as another host keeps the group now.
 func (g *group) close() {
 	g.mu.Lock()
@@ -124,6 +180,9 @@
 		}
 		delete(g.requests, key)
 	}
+	if g.lookAhead != nil {
+		g.lookAhead.Stop()
+	}
 	g.keeper.metrics.held.Add(-int64(len(g.grants)))
 	clear(g.grants)
 }
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -10,7 +10,9 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,12 +33,15 @@
 	sequence atomic.Int64
 	stopped  atomic.Bool
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	tasks  sync.WaitGroup
+	tasks *tasks
 
 	mu     sync.RWMutex
 	groups map[domain.GroupID]*group
+	// leaving holds the upstreams that the host list shows as leaving.
+	leaving map[domain.UpstreamID]bool
+	// defs are the groups of all pools at defsRevision.
+	defs         []groups.Group
+	defsRevision domain.Revision
 }
 
 var _ ports.Keeper = (*Keeper)(nil)
@@ -53,34 +58,15 @@
 	if cfg.PatientShare == 0 {
 		cfg.PatientShare = fairqueue.DefaultPatientShare
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	return &Keeper{
 		cfg:     cfg,
 		metrics: newMetrics(cfg.Counters),
 		epoch:   time.Now().UnixNano(),
-		ctx:     ctx,
-		cancel:  cancel,
+		tasks:   newTasks(),
 		groups:  make(map[domain.GroupID]*group),
 	}
 }
 
-// Run checks grants and groups until the context ends. It returns after all
-// calls to engines that the keeper started have ended.
-func (k *Keeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	defer k.tasks.Wait()
-	defer k.cancel()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			k.sweep()
-		}
-	}
-}
-
 // Handover stops granting, so that gates go to the next keeper. Grants in force
 // stay valid for their holders.
 func (k *Keeper) Handover(context.Context) error {
@@ -93,7 +79,7 @@
 
 // Acquire implements ports.Keeper.
 func (k *Keeper) Acquire(ctx context.Context, id domain.GroupID, req domain.PlaceRequest) (domain.Grant, error) {
-	g, err := k.group(id, req.Pool)
+	g, err := k.group(id)
 	if err != nil {
 		return domain.Grant{}, err
 	}
@@ -102,10 +88,7 @@
 
 // Renew implements ports.Keeper.
 func (k *Keeper) Renew(_ context.Context, id domain.GroupID, holder domain.HostID, grants []domain.Grant) ([]domain.GrantID, error) {
-	if len(grants) == 0 {
-		return nil, nil
-	}
-	g, err := k.group(id, grants[0].Pool)
+	g, err := k.group(id)
 	if err != nil {
 		return nil, err
 	}
@@ -135,7 +118,7 @@
 }
 
 // group returns the state of a group that this host keeps, or ErrNotKeeper.
-func (k *Keeper) group(id domain.GroupID, pool domain.PoolName) (*group, error) {
+func (k *Keeper) group(id domain.GroupID) (*group, error) {
 	if k.stopped.Load() {
 		k.metrics.notKeeper.Add(1)
 		return nil, ports.ErrNotKeeper
@@ -146,7 +129,7 @@
 	if g != nil && g.owned(time.Now()) {
 		return g, nil
 	}
-	def, ok := k.define(id, pool)
+	def, ok := k.define(id)
 	if !ok || !k.keeps(def) {
 		k.metrics.notKeeper.Add(1)
 		return nil, ports.ErrNotKeeper
@@ -155,12 +138,8 @@
 }
 
 // define looks a group up in the pools table.
-func (k *Keeper) define(id domain.GroupID, name domain.PoolName) (groups.Group, bool) {
-	pool, ok := k.cfg.Tables.Pool(name)
-	if !ok {
-		return groups.Group{}, false
-	}
-	for _, def := range groups.Of(pool, k.cfg.Scope) {
+func (k *Keeper) define(id domain.GroupID) (groups.Group, bool) {
+	for _, def := range k.definitions() {
 		if def.ID == id {
 			return def, true
 		}
@@ -174,20 +153,27 @@
 	return ok && owner == k.cfg.Self
 }
 
-// adopt returns the state of a group and creates it where needed.
+// adopt returns the state of a group and creates it where needed. A new group
+// grants the places of an engine once the engine said what it runs.
 func (k *Keeper) adopt(def groups.Group) *group {
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	g, ok := k.groups[def.ID]
 	if !ok {
 		g = newGroup(k, def)
 		k.groups[def.ID] = g
 		k.metrics.groups.Add(1)
 	}
+	leaving := k.leaving
+	k.mu.Unlock()
 	g.confirm(time.Now())
+	if !ok {
+		g.markLeaving(leaving)
+		g.listAll(true)
+	}
 	return g
 }
 
+// held returns the groups that this host keeps, sorted by identifier.
 func (k *Keeper) held() []*group {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
@@ -195,6 +181,7 @@
 	for _, g := range k.groups {
 		out = append(out, g)
 	}
+	slices.SortFunc(out, func(a, b *group) int { return cmp.Compare(a.id, b.id) })
 	return out
 }
 
@@ -208,18 +195,3 @@
 	k.mu.Unlock()
 	g.close()
 }
-
-// sweep checks all groups for moves, table changes, expired grants and
-// abandoned waiting requests.
-func (k *Keeper) sweep() {
-	for _, g := range k.held() {
-		def, ok := k.define(g.id, g.pool)
-		if !ok || !k.keeps(def) {
-			k.drop(g)
-			continue
-		}
-		g.confirm(time.Now())
-		g.update(def)
-		g.expire(time.Now())
-	}
-}
--- /dev/null
+++ b/keeper/listing.go
@@ -0,0 +1,131 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+)
+
+const (
+	// strayGraceGone is how long an attempt may run without a grant where its
+	// holder is not alive, so that a new keeper learns of grants first.
+	strayGraceGone = 4 * time.Second
+	// strayGraceAlive is the same where the holder is alive and should renew.
+	strayGraceAlive = 8 * time.Second
+)
+
+// list asks an engine what it runs. The caller holds the lock.
+func (g *group) list(u *upstreamState) {
+	if u.listing {
+		return
+	}
+	u.listing = true
+	engine := g.keeper.cfg.Upstreams.Engine(u.up)
+	began := time.Now()
+	g.keeper.tasks.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
+		defer cancel()
+		running, err := engine.List(ctx)
+		g.listed(u, began, running, err)
+	})
+}
+
+// listed takes in the answer of an engine.
+func (g *group) listed(u *upstreamState, began time.Time, running []ports.Running, err error) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	u.listing = false
+	if g.closed {
+		return
+	}
+	if err != nil {
+		g.callFailed(u, err)
+		return
+	}
+	if u.listed && u.failures >= failureBound {
+		klog.InfoS("upstream answers again", "upstream", u.up.ID, "group", g.id)
+	}
+	u.failures = 0
+	u.listed = true
+	g.reconcile(u, began, now, running)
+	g.dispatch(now)
+}
+
+// callFailed notes a failed call and takes the upstream out after a few.
+func (g *group) callFailed(u *upstreamState, err error) {
+	u.failures++
+	g.keeper.metrics.engineErrors.Add(1)
+	if u.failures == failureBound {
+		g.keeper.metrics.tookOut.Add(1)
+		klog.InfoS("upstream receives no grants until it answers", "upstream", u.up.ID, "group", g.id, "err", err)
+		g.forgetCache(u.up.ID)
+	}
+}
+
+// reconcile compares what an engine runs with the grants. Attempts that no grant
+// covers use places until they are gone, and are canceled after a grace time.
+func (g *group) reconcile(u *upstreamState, began, now time.Time, running []ports.Running) {
+	strays := make(map[domain.AttemptID]stray)
+	for _, r := range running {
+		if gr := g.covering(r.ID, u.up.ID); gr != nil {
+			g.observe(gr, r, now)
+			continue
+		}
+		if ended, ok := g.ended[r.ID]; ok && !ended.Before(began) {
+			continue
+		}
+		s, known := u.strays[r.ID]
+		if !known {
+			s.since = now
+		}
+		s.pieces, s.role = r.Pieces, r.Role
+		strays[r.ID] = s
+		if now.Sub(s.since) >= g.grace(r.Holder) {
+			g.cancelStray(u.up, r.ID)
+		}
+	}
+	u.setStrays(strays)
+}
+
+// covering returns the grant under which an attempt runs on an upstream.
+func (g *group) covering(id domain.AttemptID, on domain.UpstreamID) *grant {
+	gr := g.revoking[id]
+	if r, ok := g.requests[id.Key()]; ok && r.grant != nil {
+		gr = r.grant
+	}
+	if gr == nil || gr.Request != id || (gr.Decode != on && gr.Prefill != on) {
+		return nil
+	}
+	return gr
+}
+
+// observe corrects the predicted end of a grant by its progress.
+func (g *group) observe(gr *grant, r ports.Running, now time.Time) {
+	if r.Role == domain.RoleDecode && r.Emitted > 0 {
+		gr.decoding = now.Add(-time.Duration(r.Emitted) * g.pace.tokenInterval())
+	}
+}
+
+// grace returns how long an attempt without a grant is left alone.
+func (g *group) grace(holder domain.HostID) time.Duration {
+	for _, m := range g.keeper.cfg.Membership.Members() {
+		if m.ID == holder && m.State != domain.MemberDead {
+			return strayGraceAlive
+		}
+	}
+	return strayGraceGone
+}
+
+// cancelStray cancels an attempt that nobody claims. The next listing shows
+// whether it is gone.
+func (g *group) cancelStray(up domain.Upstream, id domain.AttemptID) {
+	g.keeper.metrics.strays.Add(1)
+	g.keeper.tasks.spawn(func(ctx context.Context) {
+		_ = g.keeper.cancelOnce(ctx, up, id)
+	})
+}
--- a/keeper/predict.go
+++ b/keeper/predict.go
@@ -44,6 +44,19 @@
 	return clamp(int(l.tokens.mean), limit)
 }
 
+// remaining returns the expected output tokens after emitted ones. Lengths with
+// little deviation count down to the mean; lengths that deviate as much as their
+// mean, like exponential ones, have the mean still to come at any time.
+func (l *lengths) remaining(limit, emitted int) float64 {
+	mean, spread := float64(l.expected(limit)), 1.0
+	if l.tokens.count > 0 && l.tokens.mean > 0 {
+		spread = min(1, l.tokens.variance/(l.tokens.mean*l.tokens.mean))
+	}
+	done := float64(max(0, emitted))
+	left := max(0, mean-done) + spread*min(mean, done)
+	return min(left, float64(max(1, limit-emitted)))
+}
+
 func clamp(tokens, limit int) int { return max(1, min(tokens, limit)) }
 
 // pace estimates the time between tokens and the time that a place is held.
@@ -68,3 +81,11 @@
 	p.interval.add(float64(decoding) / float64(tokens))
 	p.hold.add(float64(hold))
 }
+
+// remaining returns the expected time until a grant ends.
+func (g *group) remaining(gr *grant, now time.Time) time.Duration {
+	interval := g.pace.tokenInterval()
+	emitted := int(max(0, now.Sub(gr.decoding)) / interval)
+	tokens := g.route(gr.route).remaining(gr.limit, emitted)
+	return max(0, gr.decoding.Sub(now)) + time.Duration(tokens*float64(interval))
+}
--- /dev/null
+++ b/keeper/promise_test.go
@@ -0,0 +1,107 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+)
+
+// fill takes all places of a bench and returns the grants, the oldest first.
+func fill(t *testing.T, b *bench, places int) []domain.Grant {
+	t.Helper()
+	var grants []domain.Grant
+	for i := range places {
+		grants = append(grants, mustAcquire(t, b.keeper, place("f", fmt.Sprint(i), 1)))
+	}
+	return grants
+}
+
+// TestPromisedPlaceIsConfirmed checks that a grant before its place is free says
+// so, and that the place goes to it before any other request.
+func TestPromisedPlaceIsConfirmed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 1, 20, 200}, JustInTime{})
+		defer b.start(t, b.keeper)()
+		grants := fill(t, b, 20)
+		req := place("a", "1", 1)
+		req.PromptTokens = 10_000
+		grant := mustAcquire(t, b.keeper, req)
+		if grant.DecodeIn <= 0 {
+			t.Fatalf("granted %+v while all places are taken", grant)
+		}
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			release(t, b.keeper, grants[0])
+		}()
+		began := time.Now()
+		confirmed := mustAcquire(t, b.keeper, req)
+		if confirmed.ID != grant.ID || confirmed.DecodeIn != 0 || time.Since(began) != 300*time.Millisecond {
+			t.Errorf("after %v got %+v, want the place of the release", time.Since(began), confirmed)
+		}
+	})
+}
+
+// TestOverduePromiseMovesToAFreePlace checks that the keeper resolves a promise
+// whose place does not become free.
+func TestOverduePromiseMovesToAFreePlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 2, 20, 200}, JustInTime{})
+		defer b.start(t, b.keeper)()
+		grants := fill(t, b, 40)
+		req := place("a", "1", 1)
+		req.PromptTokens = 10_000
+		grant := mustAcquire(t, b.keeper, req)
+		go func() {
+			time.Sleep(900 * time.Millisecond)
+			for _, g := range grants {
+				if g.Decode != grant.Decode {
+					release(t, b.keeper, g)
+					return
+				}
+			}
+		}()
+		confirmed := mustAcquire(t, b.keeper, req)
+		if confirmed.DecodeIn != 0 || confirmed.Decode == grant.Decode {
+			t.Errorf("got %+v, want a place on the other upstream than %s", confirmed, grant.Decode)
+		}
+	})
+}
+
+func TestPromisesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{4, 1, 20, 200}, JustInTime{})
+		defer b.start(t, b.keeper)()
+		fill(t, b, 20)
+		promised := 0
+		for i := range 5 {
+			req := place("a", fmt.Sprint(i), 1)
+			req.PromptTokens = 10_000
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			if _, err := b.keeper.Acquire(ctx, testGroup, req); err == nil {
+				promised++
+			}
+			cancel()
+		}
+		if promised == 0 || promised > maxPromises {
+			t.Errorf("%d places promised, want 1 to %d", promised, maxPromises)
+		}
+	})
+}
+
+func TestLoadReportCorrectsThePrefillQueue(t *testing.T) {
+	now := time.Now()
+	p := &prefillState{upstreamState: upstreamState{up: domain.Upstream{PrefillRate: 1000}}}
+	p.log = []prefillWork{
+		{at: now.Add(-3 * time.Second), time: time.Hour},
+		{at: now.Add(-time.Second), time: time.Second},
+	}
+	p.correct(now, ports.Load{QueuedTokens: 2000, Age: 2 * time.Second})
+	if got := p.busyUntil.Sub(now); got != time.Second {
+		t.Errorf("queue of %v, want 2 s reported 2 s ago and 1 s granted since", got)
+	}
+}
--- a/keeper/refusals.go
+++ b/keeper/refusals.go
@@ -33,8 +33,8 @@
 
 func refuseNoUpstream() *domain.Refusal {
 	return domain.Refuse(domain.RefusalNoUpstream,
-		"the group has no prefill or no decode upstream",
-		"add upstreams of both roles to the pool's row")
+		"the group has no prefill or no decode upstream that the request may use",
+		"use another group, or add upstreams of both roles to the pool's row")
 }
 
 func refuseTooLarge(need, largest int) *domain.Refusal {
--- a/keeper/wait.go
+++ b/keeper/wait.go
@@ -30,7 +30,7 @@
 func (g *group) leadTime(w *waiter, now time.Time) time.Duration {
 	lead := time.Duration(-1)
 	for _, p := range g.prefill {
-		if p.unusable || p.up.PrefillRate <= 0 {
+		if !p.usable(now) || p.up.PrefillRate <= 0 {
 			continue
 		}
 		work := time.Duration(float64(w.req.PromptTokens) / float64(p.up.PrefillRate) * float64(time.Second))
--- a/keeper/waiter.go
+++ b/keeper/waiter.go
@@ -18,6 +18,8 @@
 	arrived  time.Time
 	// deadline is when the first token is due; zero on patient requests.
 	deadline time.Time
+	// blockers is the number of older attempts that have not ended yet.
+	blockers int
 	// done is closed when there is an outcome.
 	done  chan struct{}
 	grant domain.Grant
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -15,6 +15,8 @@
 type Prefill struct {
 	ID   domain.UpstreamID
 	Zone domain.Zone
+	// Position names the upstream in the prefix index.
+	Position int
 	// Rate is in prompt tokens per second.
 	Rate float64
 	// Queue is how long the work that is already granted keeps it busy.
@@ -23,6 +25,8 @@
 	LinkRate int64
 	// LinkQueue is how long the granted transfers keep its link busy.
 	LinkQueue time.Duration
+	// Suspect says that it may compute the prompt of a suspect request now.
+	Suspect bool
 	// Unusable says that it is leaving, unhealthy or of unknown state.
 	Unusable bool
 }
--- a/placement/prefixindex.go
+++ b/placement/prefixindex.go
@@ -30,6 +30,7 @@
 	stale             []bool
 	current           []uint64
 	certain           []uint64
+	matched           []int32
 }
 
 type pieceEntry struct {
@@ -53,6 +54,7 @@
 		stale:     make([]bool, upstreams),
 		current:   make([]uint64, words),
 		certain:   make([]uint64, words),
+		matched:   make([]int32, upstreams),
 	}
 }
 
@@ -105,62 +107,65 @@
 	x.sequences[upstream], x.seen[upstream], x.stale[upstream] = 0, false, false
 }
 
-// match calls found for each of the first n upstreams that holds the first
-// pieces of a prompt, with their number. Of pieces that are not confirmed only
-// half are counted. Used pieces become the newest.
-func (x *PrefixIndex) match(keys []domain.PieceKey, n int, found func(upstream, pieces int)) {
+// Match returns how many of the first pieces of a prompt each upstream holds, by
+// position. Of pieces that are not confirmed only half are counted. Used pieces
+// become the newest. The result is valid until the next call.
+func (x *PrefixIndex) Match(keys []domain.PieceKey) []int32 {
+	clear(x.matched)
 	for w := range x.current {
 		x.current[w], x.certain[w] = ^uint64(0), ^uint64(0)
 	}
-	for matched, key := range keys {
+	for count, key := range keys {
 		at, ok := x.byKey[key]
 		if !ok {
-			x.report(matched, n, found)
-			return
+			x.record(count)
+			return x.matched
 		}
 		x.touch(at)
-		if !x.narrow(int(at), matched, n, found) {
-			return
+		if !x.narrow(int(at), count) {
+			return x.matched
 		}
 	}
-	x.report(len(keys), n, found)
+	x.record(len(keys))
+	return x.matched
 }
 
-// narrow keeps the upstreams that hold one more piece and reports the others.
-func (x *PrefixIndex) narrow(at, matched, n int, found func(upstream, pieces int)) bool {
-	any := uint64(0)
+// narrow keeps the upstreams that hold one more piece and records the others.
+// It returns whether any is left.
+func (x *PrefixIndex) narrow(at, count int) bool {
+	left := uint64(0)
 	for w := range x.current {
 		held := x.holders[at*x.words+w]
-		lost := x.current[w] &^ held
-		x.reportWord(w, matched, lost, n, found)
+		x.recordWord(w, count, x.current[w]&^held)
 		x.current[w] &= held
 		x.certain[w] &^= x.doubtful[at*x.words+w]
-		any |= x.current[w]
+		left |= x.current[w]
 	}
-	return any != 0
+	return left != 0
 }
 
-func (x *PrefixIndex) report(matched, n int, found func(upstream, pieces int)) {
+// record notes the number of matched pieces for all upstreams that are left.
+func (x *PrefixIndex) record(count int) {
 	for w, set := range x.current {
-		x.reportWord(w, matched, set, n, found)
+		x.recordWord(w, count, set)
 	}
 }
 
-func (x *PrefixIndex) reportWord(w, matched int, set uint64, n int, found func(upstream, pieces int)) {
-	if matched == 0 {
+func (x *PrefixIndex) recordWord(w, count int, set uint64) {
+	if count == 0 {
 		return
 	}
 	for set != 0 {
 		bit := bits.TrailingZeros64(set)
 		set &^= 1 << bit
 		upstream := w*64 + bit
-		if upstream >= n {
+		if upstream >= len(x.matched) {
 			return
 		}
-		pieces := matched
+		pieces := count
 		if x.certain[w]&(1<<bit) == 0 {
-			pieces = (matched + 1) / 2
+			pieces = (count + 1) / 2
 		}
-		found(upstream, pieces)
+		x.matched[upstream] = int32(pieces)
 	}
 }
--- a/placement/score_prefix.go
+++ b/placement/score_prefix.go
@@ -14,7 +14,9 @@
 	if p.index == nil || len(r.Keys) == 0 {
 		return
 	}
-	p.index.match(r.Keys, len(s.Prefill), func(prefill, pieces int) {
-		d.Prefill[prefill].CachedTokens = min(pieces*domain.PieceTokens, r.PromptTokens)
-	})
+	matched := p.index.Match(r.Keys)
+	for i := range s.Prefill {
+		pieces := int(matched[s.Prefill[i].Position])
+		d.Prefill[i].CachedTokens = min(pieces*domain.PieceTokens, r.PromptTokens)
+	}
 }
