--- a/standin/engine/config.go
+++ b/standin/engine/config.go
@@ -66,6 +66,9 @@
 	ResumeGrace time.Duration
 	// RestartAfter is how long the engine is down after a crash.
 	RestartAfter time.Duration
+	// Remote fetches results from engines outside the fabric; nil means that
+	// there are none.
+	Remote RemoteExport
 	// Frames says how frames go wrong on their way to the reader.
 	Frames FrameFaults
 	// Seed seeds the engine's scripted losses.
--- a/standin/engine/transfer.go
+++ b/standin/engine/transfer.go
@@ -74,7 +74,7 @@
 func (e *Engine) transfer(ctx context.Context, req ports.ImportRequest) (kvCache, error) {
 	source, ok := e.fabric.Engine(req.Source)
 	if !ok {
-		return kvCache{}, e.errorf(ports.EngineUnreachable, "no link to %s", req.Source)
+		return e.fetch(ctx, req)
 	}
 	stalled := e.errorf(ports.EngineStalled, "the transfer from %s made no progress in time", req.Source)
 	if !sleep(ctx, e.fabric.stalledFor(req.Source, e.cfg.Upstream.ID)) {
