Carry the request's fingerprint with place requests and grants

Cause: strikes that spread by gossip arrive seconds after a crash, while the caller may resend at once through another host. Change: the keeper of the group sees the fingerprint and a crashed release, so that it knows at once. Conclusion: types only; the decisions follow.

--- a/domain/request.go
+++ b/domain/request.go
@@ -64,6 +64,9 @@
 	// Suspect says that an upstream crashed while it ran the request. A suspect
 	// never shares an upstream with another suspect.
 	Suspect bool `json:"suspect,omitempty"`
+	// Fingerprint identifies the request's content, so that a request that
+	// crashes upstreams is recognised when it is sent again.
+	Fingerprint uint64 `json:"fingerprint,omitempty"`
 }
 
 // Pieces returns the memory that the request needs in pieces.
@@ -93,6 +96,8 @@
 	DecodeIn time.Duration `json:"decode_in,omitempty"`
 	// Suspect repeats the mark of the request.
 	Suspect bool `json:"suspect,omitempty"`
+	// Fingerprint repeats the fingerprint of the request.
+	Fingerprint uint64 `json:"fingerprint,omitempty"`
 }
 
 // ReleaseReason says why a grant ended.
@@ -103,6 +108,8 @@
 	ReleaseDone     ReleaseReason = "done"
 	ReleaseCanceled ReleaseReason = "canceled"
 	ReleaseFailed   ReleaseReason = "failed"
+	// ReleaseCrashed says that the decode upstream died while it ran the request.
+	ReleaseCrashed ReleaseReason = "crashed"
 )
 
 // Release gives a grant back.
