--- a/ports/service.go
+++ b/ports/service.go
@@ -14,8 +14,10 @@
 
 // ServiceRequest is a call to a plain service.
 type ServiceRequest struct {
-	Method string      `json:"method"`
-	Path   string      `json:"path"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// Query is the raw query string, without the question mark.
+	Query  string      `json:"query,omitempty"`
 	Header http.Header `json:"header,omitempty"`
 	Body   []byte      `json:"body,omitempty"`
 }
