--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -17,6 +17,7 @@
 var decisions = []string{
 	"domain", "ports", "counters", "groups", "routing", "placement", "keeper", "claims", "quarantine",
 	"tables", "membership", "orders", "entrypoints", "fairqueue", "retry",
+	"hostwatch", "host", "leases", "storeguard",
 }
 
 // TestImportsPointInwards checks that decisions import neither adapters nor
--- a/routing/config.go
+++ b/routing/config.go
@@ -69,6 +69,11 @@
 // SendFunc sends a call to an upstream once.
 type SendFunc func(ctx context.Context) (ports.ServiceResponse, error)
 
+// Leaving knows which upstreams are about to stop.
+type Leaving interface {
+	Leaving(id domain.UpstreamID) bool
+}
+
 // Claims executes non-idempotent calls at most once.
 type Claims interface {
 	// Execute runs send unless the call already ran. The digest covers the call's
@@ -85,6 +90,7 @@
 	Upstreams  ports.Upstreams
 	Quarantine Quarantine
 	Claims     Claims
+	Leaving    Leaving
 	Counters   *counters.Set
 	// Scope is the scope of upstream groups. Default groups.ScopeRegion.
 	Scope  groups.Scope
--- a/routing/service.go
+++ b/routing/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -103,6 +104,8 @@
 	_, _ = d.WriteString(req.Method)
 	_, _ = d.WriteString(" ")
 	_, _ = d.WriteString(req.Path)
+	_, _ = d.WriteString("?")
+	_, _ = d.WriteString(req.Query)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.Write(req.Body)
 	return d.Sum64()
@@ -130,25 +133,22 @@
 	}
 }
 
-// pickService picks an upstream of a service pool: at random, in the own
-// availability zone where it has one, outside avoid where that leaves one.
+// pickService picks an upstream of a service pool that is not leaving: at
+// random, outside avoid where that leaves one, in the own availability zone
+// where it has one.
 func (g *Gate) pickService(name domain.PoolName, avoid []domain.UpstreamID) (domain.Upstream, bool) {
 	pool, ok := g.cfg.Tables.Pool(name)
-	if !ok || len(pool.Upstreams) == 0 {
+	if !ok {
 		return domain.Upstream{}, false
 	}
+	candidates := filterUpstreams(pool.Upstreams, func(up domain.Upstream) bool { return !g.cfg.Leaving.Leaving(up.ID) })
+	candidates = preferUpstreams(candidates, func(up domain.Upstream) bool { return !slices.Contains(avoid, up.ID) })
 	zone := g.cfg.Membership.Self().Zone
-	local := filterUpstreams(pool.Upstreams, func(up domain.Upstream) bool {
-		return up.Zone == zone && !contains(avoid, up.ID)
-	})
-	if len(local) > 0 {
-		return local[rand.IntN(len(local))], true
-	}
-	fresh := filterUpstreams(pool.Upstreams, func(up domain.Upstream) bool { return !contains(avoid, up.ID) })
-	if len(fresh) > 0 {
-		return fresh[rand.IntN(len(fresh))], true
+	candidates = preferUpstreams(candidates, func(up domain.Upstream) bool { return up.Zone == zone })
+	if len(candidates) == 0 {
+		return domain.Upstream{}, false
 	}
-	return pool.Upstreams[rand.IntN(len(pool.Upstreams))], true
+	return candidates[rand.IntN(len(candidates))], true
 }
 
 func filterUpstreams(ups []domain.Upstream, keep func(domain.Upstream) bool) []domain.Upstream {
@@ -161,13 +161,12 @@
 	return out
 }
 
-func contains(ids []domain.UpstreamID, id domain.UpstreamID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
+// preferUpstreams filters the upstreams, unless that would leave none.
+func preferUpstreams(ups []domain.Upstream, keep func(domain.Upstream) bool) []domain.Upstream {
+	if preferred := filterUpstreams(ups, keep); len(preferred) > 0 {
+		return preferred
 	}
-	return false
+	return ups
 }
 
 // serviceRefusal turns a failed call into a refusal that says truthfully
