Reach the platform over HTTP in published formats

Tables speak the JSON of the etcd v3 gateway, objects the S3 manner and the host list Prometheus HTTP service discovery, so that a deployment can put known services there. The client tells apart writes that were never sent, writes whose answer was lost and writes that were throttled; an unclear 5xx answer to a write counts as lost.

--- /dev/null
+++ b/adapters/platformhttp/client.go
@@ -0,0 +1,181 @@
+// Package platformhttp reaches the platform's services over HTTP in published
+// formats: the table service in the JSON of the etcd v3 gateway, the object
+// store in the manner of S3, and the host list in the JSON of Prometheus HTTP
+// service discovery. Handler serves the same formats for a stand-in.
+//
+// Sources: https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/,
+// https://docs.aws.amazon.com/AmazonS3/latest/API/API_PutObject.html,
+// https://prometheus.io/docs/prometheus/latest/http_sd/.
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"greengagespoke/ports"
+)
+
+const (
+	// DefaultTimeout bounds one call where the configuration has no timeout.
+	DefaultTimeout = 2 * time.Second
+	// maxAnswerBytes bounds the size of one answer.
+	maxAnswerBytes = 64 << 20
+	// idleConnections is the number of kept connections per service.
+	idleConnections = 16
+	// idleTimeout closes connections that are unused for so long.
+	idleTimeout = 90 * time.Second
+)
+
+// Config says where the services are.
+type Config struct {
+	// TablesURL is the base of the table service: "http://10.0.0.5:2379".
+	TablesURL string
+	// ObjectsURL is the base of the object store and Bucket its bucket.
+	ObjectsURL string
+	Bucket     string
+	// HostsURL is the full address of the host list.
+	HostsURL string
+	// Token is sent as a bearer token if not empty.
+	Token string
+	// Timeout bounds one call; zero means DefaultTimeout.
+	Timeout time.Duration
+	// HTTP is the client to use; nil means one with kept connections.
+	HTTP *http.Client
+}
+
+// Client reaches the platform. It implements ports.TableService, and gives
+// access to the other services with Objects and Hosts.
+type Client struct {
+	cfg  Config
+	http *http.Client
+}
+
+// ConfigError is a wrong or missing value of the configuration.
+type ConfigError struct {
+	Key     string
+	Message string
+}
+
+// Error implements error.
+func (e *ConfigError) Error() string {
+	return fmt.Sprintf("platform setting %s: %s", e.Key, e.Message)
+}
+
+// New returns a client, or *ConfigError.
+func New(cfg Config) (*Client, error) {
+	for key, value := range map[string]string{"tables_url": cfg.TablesURL, "objects_url": cfg.ObjectsURL, "hosts_url": cfg.HostsURL} {
+		u, err := url.Parse(value)
+		if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+			return nil, &ConfigError{Key: key, Message: fmt.Sprintf("%q is not an http or https URL; write one such as http://10.0.0.5:2379", value)}
+		}
+	}
+	if cfg.Bucket == "" || strings.Contains(cfg.Bucket, "/") {
+		return nil, &ConfigError{Key: "bucket", Message: fmt.Sprintf("%q is not a bucket name; write a name without slashes", cfg.Bucket)}
+	}
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	client := cfg.HTTP
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout}}
+	}
+	return &Client{cfg: cfg, http: client}, nil
+}
+
+// Tables returns the table service.
+func (c *Client) Tables() ports.TableService { return tableClient{c} }
+
+// Objects returns the object store.
+func (c *Client) Objects() ports.ObjectStore { return objectClient{c} }
+
+// Hosts returns the host list.
+func (c *Client) Hosts() ports.HostList { return hostClient{c} }
+
+// Close closes the kept connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// answer is a whole HTTP answer.
+type answer struct {
+	status int
+	body   []byte
+}
+
+// do sends one request and reads the whole answer. The error is
+// ports.ErrStoreDown if no connection was made, so that nothing was sent, and
+// ports.ErrStoreUnknown if the answer was lost.
+func (c *Client) do(ctx context.Context, method, address, contentType string, body []byte) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, address, bytes.NewReader(body))
+	if err != nil {
+		return answer{}, fmt.Errorf("%w: %w", ports.ErrStoreDown, err)
+	}
+	if contentType != "" {
+		req.Header.Set("Content-Type", contentType)
+	}
+	if c.cfg.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		if !connected.Load() {
+			return answer{}, fmt.Errorf("%w: %w", ports.ErrStoreDown, err)
+		}
+		return answer{}, fmt.Errorf("%w: %w", ports.ErrStoreUnknown, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	read, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil || len(read) > maxAnswerBytes {
+		return answer{}, fmt.Errorf("%w: answer cut short: %w", ports.ErrStoreUnknown, err)
+	}
+	return answer{status: resp.StatusCode, body: read}, nil
+}
+
+// readError turns a lost answer to a read into ports.ErrStoreDown, as a read
+// changes nothing.
+func readError(err error) error {
+	if errors.Is(err, ports.ErrStoreUnknown) {
+		return fmt.Errorf("%w: %s", ports.ErrStoreDown, err.Error())
+	}
+	return err
+}
+
+// statusError maps an answer that is no success.
+func statusError(a answer, write bool) error {
+	status := decodeStatus(a.body)
+	switch {
+	case a.status == http.StatusTooManyRequests:
+		return ports.ErrStoreThrottled
+	case a.status == http.StatusServiceUnavailable && status.Message == messageNoLeader:
+		return ports.ErrStoreDown
+	case a.status >= http.StatusInternalServerError && write:
+		return fmt.Errorf("%w: status %d %s", ports.ErrStoreUnknown, a.status, status.Message)
+	case a.status >= http.StatusInternalServerError:
+		return fmt.Errorf("%w: status %d %s", ports.ErrStoreDown, a.status, status.Message)
+	default:
+		return &RequestError{Status: a.status, Message: status.Message}
+	}
+}
+
+// RequestError means that a service did not accept a request, because of wrong
+// credentials, a wrong address or a wrong format. Nothing was done.
+type RequestError struct {
+	Status  int
+	Message string
+}
+
+// Error implements error.
+func (e *RequestError) Error() string {
+	return fmt.Sprintf("platform refused the request with status %d (%s); check the platform's URLs and token in the settings", e.Status, e.Message)
+}
