Carry calls between entry hosts over twirp

Cause: the ports for keepers, membership, tables and gates had no adapter, so hosts could not reach each other.

Change: adapters/peerrpc serves the four services behind one handler and implements ports.Peers with clients by the member's peer address. Refusals and the port errors keep their kind in both directions, deadlines travel in a header, and bytes and messages are counted by service.

--- /dev/null
+++ b/adapters/peerrpc/peers.go
@@ -0,0 +1,181 @@
+package peerrpc
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"greengagespoke/adapters/peerrpc/peerpb"
+	"greengagespoke/counters"
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+)
+
+// Local holds the implementations of this host. Those that are nil act as
+// unreachable.
+type Local struct {
+	Keeper ports.Keeper
+	Gossip ports.Gossip
+	Tables ports.TablePeer
+	Gate   ports.GatePeer
+}
+
+// PeersConfig says how to reach the other hosts.
+type PeersConfig struct {
+	// Self is this host; calls to it go to Local without a connection.
+	Self  domain.HostID
+	Local Local
+	// Membership gives the peer addresses of the other hosts.
+	Membership ports.Membership
+	// Key is the secret that all hosts share.
+	Key string
+	// TLS says that the peers' listeners speak TLS.
+	TLS bool
+	// HTTP is the client to use; nil makes one for plain connections.
+	HTTP *http.Client
+	// Counters receives the traffic counts; nil discards them.
+	Counters *counters.Set
+}
+
+// Peers implements ports.Peers over twirp.
+type Peers struct {
+	cfg    PeersConfig
+	client *signingClient
+
+	mu    sync.Mutex
+	local Local
+	cache map[domain.HostID]clientSet
+}
+
+// clientSet holds the clients of one host at one address.
+type clientSet struct {
+	address string
+	keeper  keeperClient
+	gossip  gossipClient
+	tables  tableClient
+	gate    gateClient
+}
+
+// NewPeers returns access to the other hosts.
+func NewPeers(cfg PeersConfig) *Peers {
+	if cfg.HTTP == nil {
+		cfg.HTTP = defaultHTTP()
+	}
+	return &Peers{
+		cfg: cfg,
+		client: &signingClient{
+			http:    cfg.HTTP,
+			auth:    newAuthenticator(cfg.Key, time.Now),
+			traffic: newTraffic(cfg.Counters),
+		},
+		local: cfg.Local,
+		cache: make(map[domain.HostID]clientSet),
+	}
+}
+
+// Bind sets the local implementations, for those that need the Peers themselves
+// to be made.
+func (p *Peers) Bind(local Local) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.local = local
+}
+
+// Close closes idle connections to the other hosts.
+func (p *Peers) Close() {
+	p.cfg.HTTP.CloseIdleConnections()
+}
+
+// Keeper implements ports.Peers.
+func (p *Peers) Keeper(host domain.HostID) ports.Keeper {
+	if local := p.localIf(host); local.Keeper != nil {
+		return local.Keeper
+	}
+	if set, ok := p.remote(host); ok {
+		return set.keeper
+	}
+	return unreachable{}
+}
+
+// Gossip implements ports.Peers.
+func (p *Peers) Gossip(host domain.HostID) ports.Gossip {
+	if local := p.localIf(host); local.Gossip != nil {
+		return local.Gossip
+	}
+	if set, ok := p.remote(host); ok {
+		return set.gossip
+	}
+	return unreachable{}
+}
+
+// TablePeer implements ports.Peers.
+func (p *Peers) TablePeer(host domain.HostID) ports.TablePeer {
+	if local := p.localIf(host); local.Tables != nil {
+		return local.Tables
+	}
+	if set, ok := p.remote(host); ok {
+		return set.tables
+	}
+	return unreachable{}
+}
+
+// GatePeer implements ports.Peers.
+func (p *Peers) GatePeer(host domain.HostID) ports.GatePeer {
+	if local := p.localIf(host); local.Gate != nil {
+		return local.Gate
+	}
+	if set, ok := p.remote(host); ok {
+		return set.gate
+	}
+	return unreachable{}
+}
+
+// localIf returns the local implementations where host is this one.
+func (p *Peers) localIf(host domain.HostID) Local {
+	if host != p.cfg.Self {
+		return Local{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.local
+}
+
+// remote returns the clients of another host, or false where its address is not
+// known.
+func (p *Peers) remote(host domain.HostID) (clientSet, bool) {
+	if host == p.cfg.Self {
+		return clientSet{}, false
+	}
+	members := p.cfg.Membership.Members()
+	i := sort.Search(len(members), func(i int) bool { return members[i].ID >= host })
+	if i == len(members) || members[i].ID != host || members[i].PeerAddress == "" {
+		return clientSet{}, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	set, ok := p.cache[host]
+	if ok && set.address == members[i].PeerAddress {
+		return set, true
+	}
+	if len(p.cache) > 2*len(members) {
+		clear(p.cache)
+	}
+	set = p.newClientSet(host, members[i].PeerAddress)
+	p.cache[host] = set
+	return set, true
+}
+
+func (p *Peers) newClientSet(host domain.HostID, address string) clientSet {
+	base := "http://" + address
+	if p.cfg.TLS {
+		base = "https://" + address
+	}
+	return clientSet{
+		address: address,
+		keeper:  keeperClient{host, peerpb.NewKeeperServiceProtobufClient(base, p.client)},
+		gossip:  gossipClient{host, peerpb.NewGossipServiceProtobufClient(base, p.client)},
+		tables:  tableClient{host, peerpb.NewTableServiceProtobufClient(base, p.client)},
+		gate:    gateClient{host, peerpb.NewGateServiceProtobufClient(base, p.client)},
+	}
+}
--- /dev/null
+++ b/adapters/peerrpc/server.go
@@ -0,0 +1,135 @@
+package peerrpc
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"greengagespoke/adapters/peerrpc/peerpb"
+	"greengagespoke/counters"
+	"greengagespoke/ports"
+)
+
+const (
+	// maxRequestBytes bounds the body of a request from another host.
+	maxRequestBytes = 16 << 20
+	// timeoutHeader carries what is left of the caller's deadline in
+	// microseconds.
+	timeoutHeader = "Timeout"
+)
+
+// pathPrefixes maps the path prefix of each twirp service to its name.
+var pathPrefixes = map[string]service{
+	peerpb.KeeperServicePathPrefix: serviceKeeper,
+	peerpb.GossipServicePathPrefix: serviceGossip,
+	peerpb.TableServicePathPrefix:  serviceTables,
+	peerpb.GateServicePathPrefix:   serviceGate,
+}
+
+// ServerConfig holds the local implementations that other hosts may call.
+type ServerConfig struct {
+	Keeper ports.Keeper
+	Gossip ports.Gossip
+	Tables ports.TablePeer
+	Gate   ports.GatePeer
+	// Key is the secret that all hosts share.
+	Key string
+	// Counters receives the traffic counts; nil discards them.
+	Counters *counters.Set
+}
+
+// NewServer returns the handler of the listener for peers. Requests that are not
+// signed with the key get the twirp error "unauthenticated".
+func NewServer(cfg ServerConfig) http.Handler {
+	mux := http.NewServeMux()
+	for _, s := range []peerpb.TwirpServer{
+		peerpb.NewKeeperServiceServer(keeperService{cfg.Keeper}),
+		peerpb.NewGossipServiceServer(gossipService{cfg.Gossip}),
+		peerpb.NewTableServiceServer(tableService{cfg.Tables}),
+		peerpb.NewGateServiceServer(gateService{cfg.Gate}),
+	} {
+		mux.Handle(s.PathPrefix(), s)
+	}
+	return &server{
+		next:    mux,
+		auth:    newAuthenticator(cfg.Key, time.Now),
+		traffic: newTraffic(cfg.Counters),
+	}
+}
+
+// server authenticates and counts requests before they reach the services.
+type server struct {
+	next    http.Handler
+	auth    *authenticator
+	traffic *traffic
+}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		writeReadError(w, err)
+		return
+	}
+	if err := s.auth.check(r, body); err != nil {
+		s.traffic.unauthenticated.Add(1)
+		_ = twirp.WriteError(w, twirp.Unauthenticated.Error(err.Error()))
+		return
+	}
+	ctx, cancel := contextOf(r)
+	defer cancel()
+	r = r.WithContext(ctx)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	counted := &countingWriter{ResponseWriter: w, status: http.StatusOK}
+	// The Date header is of no use between hosts.
+	w.Header()["Date"] = nil
+	s.next.ServeHTTP(counted, r)
+	if name, ok := serviceOf(r.URL.Path); ok {
+		s.traffic.byService[name].received(requestSize(r, len(body)))
+		s.traffic.byService[name].sent(responseSize(counted.status, w.Header(), counted.bytes))
+	}
+}
+
+func writeReadError(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		_ = twirp.WriteError(w, twirp.ResourceExhausted.Error("request body is too large; send less in one call"))
+		return
+	}
+	_ = twirp.WriteError(w, twirp.Malformed.Error("request body could not be read; send it again"))
+}
+
+// contextOf returns the request's context with the deadline that the caller sent.
+func contextOf(r *http.Request) (context.Context, context.CancelFunc) {
+	micros, err := strconv.ParseInt(r.Header.Get(timeoutHeader), 10, 64)
+	if err != nil {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(micros)*time.Microsecond)
+}
+
+// countingWriter counts the bytes of an answer's body.
+type countingWriter struct {
+	http.ResponseWriter
+	status int
+	bytes  int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *countingWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *countingWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	w.bytes += n
+	return n, err
+}
--- /dev/null
+++ b/adapters/peerrpc/traffic_test.go
@@ -0,0 +1,68 @@
+package peerrpc
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"greengagespoke/counters"
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+)
+
+// meteredConn counts what passes through a connection.
+type meteredConn struct {
+	net.Conn
+	read, written *atomic.Int64
+}
+
+func (c meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+func (c meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// TestCountersMatchTheConnection checks the computed sizes against the bytes that
+// pass through the connection.
+func TestCountersMatchTheConnection(t *testing.T) {
+	peers, sent, served := startPeer(t, &fakeHost{}, testKey)
+	var read, written atomic.Int64
+	transport := defaultHTTP().Transport.(*http.Transport)
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		return meteredConn{conn, &read, &written}, err
+	}
+	peers.client.http = &http.Client{Transport: transport}
+	t.Cleanup(transport.CloseIdleConnections)
+	const probes = 20
+	for range probes {
+		updates := []domain.Member{{ID: "c", Zone: "z", PeerAddress: strings.Repeat("1", 20)}}
+		if _, err := peers.Gossip("b").Probe(t.Context(), ports.ProbeMessage{From: "a", Updates: updates}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	defs := trafficCatalogue[serviceGossip]
+	check := func(name string, set *counters.Set, def counters.Def, want int64) {
+		t.Helper()
+		if got := set.Int(def).Value(); got != want {
+			t.Errorf("%s: counted %d, want %d", name, got, want)
+		}
+	}
+	check("messages sent", sent, defs.sentMessages, probes)
+	check("messages received", sent, defs.receivedMessages, probes)
+	check("messages served", served, defs.sentMessages, probes)
+	check("bytes sent", sent, defs.sentBytes, written.Load())
+	check("bytes received", sent, defs.receivedBytes, read.Load())
+	check("bytes served", served, defs.sentBytes, read.Load())
+	check("bytes of requests", served, defs.receivedBytes, written.Load())
+	t.Logf("a probe with one update: %d bytes, its answer: %d bytes", written.Load()/probes, read.Load()/probes)
+}
--- /dev/null
+++ b/adapters/peerrpc/transport.go
@@ -0,0 +1,84 @@
+package peerrpc
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// idleConnTimeout closes connections to peers that were not used lately, so
+	// that a host in a large fleet does not keep one to each other host.
+	idleConnTimeout = 30 * time.Second
+	// idleConnsPerHost bounds the idle connections to one peer.
+	idleConnsPerHost = 4
+)
+
+// defaultHTTP returns a client for connections between hosts. Proxies from the
+// environment are not used.
+func defaultHTTP() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: idleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+// signingClient signs and counts the requests of the generated twirp clients.
+type signingClient struct {
+	http    *http.Client
+	auth    *authenticator
+	traffic *traffic
+}
+
+// Do implements the generated HTTPClient interface.
+func (c *signingClient) Do(r *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	trimHeaders(r.Header)
+	setTimeout(r)
+	c.auth.sign(r, body)
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	r.ContentLength = int64(len(body))
+	resp, err := c.http.Do(r)
+	if err != nil {
+		c.traffic.unreachable.Add(1)
+		return nil, err
+	}
+	c.count(r, len(body), resp)
+	return resp, nil
+}
+
+// trimHeaders removes headers that peers do not use, as they would be the larger
+// part of most messages between hosts.
+func trimHeaders(h http.Header) {
+	h.Del("Accept")
+	h.Del("Twirp-Version")
+	// An empty value keeps net/http from adding its own.
+	h.Set("User-Agent", "")
+}
+
+// setTimeout passes on what is left until the context's deadline.
+func setTimeout(r *http.Request) {
+	deadline, ok := r.Context().Deadline()
+	if !ok {
+		return
+	}
+	left := time.Until(deadline)
+	r.Header.Set(timeoutHeader, strconv.FormatInt(left.Microseconds(), 10))
+}
+
+// count adds a request and its answer to the counters.
+func (c *signingClient) count(r *http.Request, body int, resp *http.Response) {
+	name, ok := serviceOf(r.URL.Path)
+	if !ok {
+		return
+	}
+	length := max(0, int(resp.ContentLength))
+	c.traffic.byService[name].sent(requestSize(r, body))
+	c.traffic.byService[name].received(responseSize(resp.StatusCode, resp.Header, length))
+}
--- /dev/null
+++ b/adapters/peerrpc/unreachable.go
@@ -0,0 +1,62 @@
+package peerrpc
+
+import (
+	"context"
+
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+)
+
+// unreachable stands for a host without a known address. All calls return
+// ports.ErrPeerUnreachable.
+type unreachable struct{}
+
+// Acquire implements ports.Keeper.
+func (unreachable) Acquire(context.Context, domain.GroupID, domain.PlaceRequest) (domain.Grant, error) {
+	return domain.Grant{}, ports.ErrPeerUnreachable
+}
+
+// Renew implements ports.Keeper.
+func (unreachable) Renew(context.Context, domain.GroupID, domain.HostID, []domain.Grant) ([]domain.GrantID, error) {
+	return nil, ports.ErrPeerUnreachable
+}
+
+// Release implements ports.Keeper.
+func (unreachable) Release(context.Context, domain.GroupID, []domain.Release) error {
+	return ports.ErrPeerUnreachable
+}
+
+// Withdraw implements ports.Keeper.
+func (unreachable) Withdraw(context.Context, domain.GroupID, domain.AttemptID) error {
+	return ports.ErrPeerUnreachable
+}
+
+// Probe implements ports.Gossip.
+func (unreachable) Probe(context.Context, ports.ProbeMessage) (ports.ProbeMessage, error) {
+	return ports.ProbeMessage{}, ports.ErrPeerUnreachable
+}
+
+// ProbeVia implements ports.Gossip.
+func (unreachable) ProbeVia(context.Context, domain.HostID, ports.ProbeMessage) (ports.ProbeMessage, error) {
+	return ports.ProbeMessage{}, ports.ErrPeerUnreachable
+}
+
+// Sync implements ports.Gossip.
+func (unreachable) Sync(context.Context, []domain.Member) ([]domain.Member, error) {
+	return nil, ports.ErrPeerUnreachable
+}
+
+// Changes implements ports.TablePeer.
+func (unreachable) Changes(context.Context, domain.Revision, int) ([]domain.Change, bool, error) {
+	return nil, false, ports.ErrPeerUnreachable
+}
+
+// Snapshot implements ports.TablePeer.
+func (unreachable) Snapshot(context.Context) (ports.TableSnapshot, error) {
+	return ports.TableSnapshot{}, ports.ErrPeerUnreachable
+}
+
+// Supersede implements ports.GatePeer.
+func (unreachable) Supersede(context.Context, domain.RequestKey, int) (bool, error) {
+	return false, ports.ErrPeerUnreachable
+}
