--- /dev/null
+++ b/adapters/settings/settings.go
@@ -0,0 +1,179 @@
+package settings
+
+import (
+	"greengagespoke/adapters/strictyaml"
+	"greengagespoke/domain"
+)
+
+// Error is a fault in a settings file.
+type Error = strictyaml.Error
+
+// Secret is a text that is left out of logs and dumps.
+type Secret string
+
+// String implements fmt.Stringer. It hides the text.
+func (Secret) String() string { return "(hidden)" }
+
+// GoString implements fmt.GoStringer. It hides the text.
+func (Secret) GoString() string { return `"(hidden)"` }
+
+// Settings is the settings file of one entry host.
+type Settings struct {
+	Host     Host     `yaml:"host"`
+	Listen   Listen   `yaml:"listen"`
+	Peers    Peers    `yaml:"peers"`
+	Auth     Auth     `yaml:"auth"`
+	Platform Platform `yaml:"platform"`
+	Timings  Timings  `yaml:"timings"`
+	Limits   Limits   `yaml:"limits"`
+	Log      Log      `yaml:"log"`
+}
+
+// Host says which host this is.
+type Host struct {
+	// ID is the name of the host, unique in the deployment and the same across
+	// restarts. Required.
+	ID domain.HostID `yaml:"id"`
+	// AvailabilityZone is where the host stands. The part before the last "-"
+	// is its region. Required.
+	AvailabilityZone domain.Zone `yaml:"availability_zone"`
+}
+
+// Listen holds the two listeners of a host.
+type Listen struct {
+	// Callers is the listener for callers' HTTP requests. Required.
+	Callers Listener `yaml:"callers"`
+	// Peers is the listener for other entry hosts. Required.
+	Peers Listener `yaml:"peers"`
+}
+
+// Listener is one listening socket.
+type Listener struct {
+	// Address is IP:PORT to listen on. Port 0 takes a free port, which is then
+	// advertised. Required.
+	Address string `yaml:"address"`
+	// Advertise is the IP:PORT that others use to reach the listener. Default:
+	// the address. Required where the address is 0.0.0.0 or [::].
+	Advertise string `yaml:"advertise"`
+	// TLS switches TLS on. Default: off.
+	TLS *TLS `yaml:"tls"`
+}
+
+// TLS names the files of a listener's certificate.
+type TLS struct {
+	// Cert is the path of the certificate chain in PEM. Required.
+	Cert string `yaml:"cert"`
+	// Key is the path of the private key in PEM. Required.
+	Key string `yaml:"key"`
+}
+
+// Peers says how entry hosts authenticate each other.
+type Peers struct {
+	// SharedKey signs the calls between entry hosts. It is the same on all
+	// hosts and has at least 16 bytes. Required.
+	SharedKey Secret `yaml:"shared_key"`
+	// CA is the path of the PEM certificates that sign peers' certificates.
+	// Required with listen.peers.tls, and not allowed without.
+	CA string `yaml:"ca"`
+}
+
+// AuthMode says how callers are identified.
+type AuthMode string
+
+// The modes of authentication.
+const (
+	// AuthNone trusts the caller name that a request states. For demos.
+	AuthNone AuthMode = "none"
+	// AuthToken wants a signed bearer token (JWT, RFC 7519) on every request.
+	AuthToken AuthMode = "token"
+)
+
+// Auth says how callers are identified.
+type Auth struct {
+	// Mode is none or token. Required.
+	Mode AuthMode `yaml:"mode"`
+	// Keys are the one or two keys that tokens may be signed with (HS256). Two
+	// are active while keys are rotated. Required in mode token.
+	Keys []AuthKey `yaml:"keys"`
+	// Issuer is the "iss" claim that tokens must carry. Required in mode token.
+	Issuer string `yaml:"issuer"`
+	// Audience is the "aud" claim that tokens must carry. Default: not checked.
+	Audience string `yaml:"audience"`
+}
+
+// AuthKey is one key for callers' tokens.
+type AuthKey struct {
+	// ID is the "kid" header of tokens signed with the key. Required.
+	ID string `yaml:"id"`
+	// Secret is the key, at least 32 bytes. Required.
+	Secret Secret `yaml:"secret"`
+}
+
+// Platform names the services of the platform as base URLs, such as
+// http://10.0.0.9:7300, with an IP number as the host.
+type Platform struct {
+	// Tables is the table service. Required.
+	Tables string `yaml:"tables"`
+	// Objects is the object store. Default: the URL of the table service.
+	Objects string `yaml:"objects"`
+	// HostList is the host list. Default: the URL of the table service.
+	HostList string `yaml:"host_list"`
+	// Timeout bounds one call to the platform. Default: 2s.
+	Timeout domain.Duration `yaml:"timeout"`
+}
+
+// Timings holds the periods and terms of a host. All are durations with a unit.
+type Timings struct {
+	// EntrypointsMaxAge is how long callers may keep an answer that says which
+	// addresses to use. Default: 10s.
+	EntrypointsMaxAge domain.Duration `yaml:"entrypoints_max_age"`
+	// DrainMargin is how long a leaving host accepts new work beyond
+	// entrypoints_max_age. Default: 2s.
+	DrainMargin domain.Duration `yaml:"drain_margin"`
+	// TablePoll is the mean time between reads of the table revision. Default: 2s.
+	TablePoll domain.Duration `yaml:"table_poll"`
+	// HostListPoll is the time between reads of the host list. Default: 5s.
+	HostListPoll domain.Duration `yaml:"host_list_poll"`
+	// ProbeInterval is the time between two membership probes. Default: 1s.
+	ProbeInterval domain.Duration `yaml:"probe_interval"`
+	// ProbeTimeout bounds a direct membership probe. It must be shorter than
+	// probe_interval. Default: 300ms.
+	ProbeTimeout domain.Duration `yaml:"probe_timeout"`
+	// SuspectTimeout is how long a suspected host has to answer before it counts
+	// as dead. It must be longer than probe_interval. Default: 4s.
+	SuspectTimeout domain.Duration `yaml:"suspect_timeout"`
+	// GrantTerm is how long a grant of a decode place lasts without renewal.
+	// Default: 6s.
+	GrantTerm domain.Duration `yaml:"grant_term"`
+	// GrantRenew is the time between renewals of grants. At most half of
+	// grant_term. Default: 2s.
+	GrantRenew domain.Duration `yaml:"grant_renew"`
+	// LeaseTerm is how long the lease for engine orders lasts without renewal.
+	// Default: 15s.
+	LeaseTerm domain.Duration `yaml:"lease_term"`
+	// LeaseRenew is the time between renewals of that lease. It must be shorter
+	// than lease_term less lease_margin. Default: 5s.
+	LeaseRenew domain.Duration `yaml:"lease_renew"`
+	// LeaseMargin is how long before expiry a holder stops to send orders.
+	// Default: 3s.
+	LeaseMargin domain.Duration `yaml:"lease_margin"`
+	// ClaimWait is how long a repeated non-idempotent call waits for the outcome
+	// of the first. Default: 5s.
+	ClaimWait domain.Duration `yaml:"claim_wait"`
+}
+
+// Limits bounds what a host takes on.
+type Limits struct {
+	// MaxBodyBytes bounds the body of a caller's request, in bytes. Default: 4194304.
+	MaxBodyBytes int64 `yaml:"max_body_bytes"`
+	// StoreWritesPerSecond is the host's share of the table service's writes.
+	// Default: 30.
+	StoreWritesPerSecond int `yaml:"store_writes_per_second"`
+}
+
+// Log configures the log on standard error.
+type Log struct {
+	// Verbosity is the klog level: 0 logs changes of state only, up to 10 for
+	// everything. Default: 0.
+	Verbosity int `yaml:"verbosity"`
+}
