--- /dev/null
+++ b/adapters/cli/exit.go
@@ -0,0 +1,90 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"greengagespoke/adapters/strictyaml"
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+)
+
+// ExitCode is the exit code of the program.
+type ExitCode int
+
+// The exit codes.
+const (
+	// ExitOK means that all went well.
+	ExitOK ExitCode = 0
+	// ExitFailed means that the request or edit was refused or failed.
+	ExitFailed ExitCode = 1
+	// ExitUsage means wrong arguments, settings or tables. Nothing was started.
+	ExitUsage ExitCode = 2
+	// ExitConflict means that another operator has changed the row since it was
+	// read.
+	ExitConflict ExitCode = 3
+	// ExitUnreachable means that the platform or host could not be reached.
+	// Nothing was changed.
+	ExitUnreachable ExitCode = 4
+	// ExitUnknown means that the work may or may not have taken effect.
+	ExitUnknown ExitCode = 5
+	// ExitNotInForce means that an edit was accepted, but not in force on all
+	// hosts within the time to wait.
+	ExitNotInForce ExitCode = 6
+)
+
+// exitHelp is shown at the end of every help text.
+const exitHelp = `Exit codes: 0 ok; 1 refused or failed; 2 wrong arguments, settings or tables;
+3 conflict with another edit; 4 platform or host unreachable; 5 outcome unknown;
+6 accepted, but not yet in force on all hosts.`
+
+// Fault is an error with its exit code.
+type Fault struct {
+	Code ExitCode
+	Err  error
+}
+
+// Error implements error.
+func (f *Fault) Error() string { return f.Err.Error() }
+
+// Unwrap returns the cause.
+func (f *Fault) Unwrap() error { return f.Err }
+
+// usage returns a fault for wrong arguments.
+func usage(format string, args ...any) *Fault {
+	return &Fault{Code: ExitUsage, Err: fmt.Errorf(format, args...)}
+}
+
+// exitCode returns the exit code for the error of a command.
+func exitCode(err error) ExitCode {
+	var fault *Fault
+	var file *strictyaml.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &fault):
+		return fault.Code
+	case errors.As(err, &file):
+		return ExitUsage
+	case errors.Is(err, ports.ErrStoreUnknown):
+		return ExitUnknown
+	case errors.Is(err, ports.ErrStoreDown), errors.Is(err, ports.ErrStoreThrottled):
+		return ExitUnreachable
+	}
+	if refusal, ok := domain.AsRefusal(err); ok && refusal.Ran == domain.RanUnknown {
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+// report prints an error as one line.
+func report(w io.Writer, err error) {
+	if errors.Is(err, context.Canceled) {
+		err = errors.New("interrupted")
+	}
+	fmt.Fprintln(w, "greengagespoke:", eris.ToString(eris.Cause(err), false))
+}
