Ask for the platform's services one by one

The table service, the object store and the host list are three services with their own URLs, so none is guessed from another; the bucket and a bearer token can be set.

--- a/adapters/settings/check_addresses.go
+++ b/adapters/settings/check_addresses.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"strings"
 
 	"greengagespoke/adapters/strictyaml"
 )
@@ -45,24 +46,25 @@
 }
 
 func (c *checker) platform(p Platform) {
-	c.present(p.Tables, "platform.tables", urlRemedy)
 	c.url("platform.tables", p.Tables)
 	c.url("platform.objects", p.Objects)
 	c.url("platform.host_list", p.HostList)
+	c.require(p.Bucket != "" && !strings.Contains(p.Bucket, "/"), "platform.bucket",
+		fmt.Sprintf("%q is not a bucket name", p.Bucket), "write a name without slashes")
 	c.positive(p.Timeout, "platform.timeout")
 }
 
-const urlRemedy = "write a base URL with an IP number and a port, such as http://10.0.0.9:7300"
+const urlRemedy = "write a URL with an IP number and a port, such as http://10.0.0.9:7300"
 
-// url records a fault where a text is neither empty nor a base URL.
+// url records a fault where a text is not a URL of a service.
 func (c *checker) url(key, text string) {
-	if text == "" {
-		return
-	}
-	c.require(isBaseURL(text), key, fmt.Sprintf("%q is not a base URL", text), urlRemedy)
+	c.present(text, key, urlRemedy)
+	c.require(isServiceURL(text), key, fmt.Sprintf("%q is not the URL of a service", text), urlRemedy)
 }
 
-func isBaseURL(text string) bool {
+// isServiceURL reports whether a text is an http or https URL with an IP number
+// and a port.
+func isServiceURL(text string) bool {
 	u, err := url.Parse(text)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
 		return false
--- a/adapters/settings/load.go
+++ b/adapters/settings/load.go
@@ -9,6 +9,7 @@
 
 // Default values of the settings.
 const (
+	defaultBucket               = "greengagespoke"
 	defaultPlatformTimeout      = 2 * time.Second
 	defaultEntrypointsMaxAge    = 10 * time.Second
 	defaultDrainMargin          = 2 * time.Second
@@ -31,7 +32,10 @@
 // values are empty.
 func Default() *Settings {
 	return &Settings{
-		Platform: Platform{Timeout: domain.Duration(defaultPlatformTimeout)},
+		Platform: Platform{
+			Bucket:  defaultBucket,
+			Timeout: domain.Duration(defaultPlatformTimeout),
+		},
 		Timings: Timings{
 			EntrypointsMaxAge: domain.Duration(defaultEntrypointsMaxAge),
 			DrainMargin:       domain.Duration(defaultDrainMargin),
@@ -99,12 +103,6 @@
 
 // fillDerived sets the values whose default is another value.
 func fillDerived(s *Settings) {
-	if s.Platform.Objects == "" {
-		s.Platform.Objects = s.Platform.Tables
-	}
-	if s.Platform.HostList == "" {
-		s.Platform.HostList = s.Platform.Tables
-	}
 	if s.Listen.Callers.Advertise == "" {
 		s.Listen.Callers.Advertise = s.Listen.Callers.Address
 	}
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -109,15 +109,19 @@
 	Secret Secret `yaml:"secret"`
 }
 
-// Platform names the services of the platform as base URLs, such as
-// http://10.0.0.9:7300, with an IP number as the host.
+// Platform names the services of the platform as URLs with an IP number as the
+// host, such as http://10.0.0.9:7300.
 type Platform struct {
-	// Tables is the table service. Required.
+	// Tables is the base URL of the table service. Required.
 	Tables string `yaml:"tables"`
-	// Objects is the object store. Default: the URL of the table service.
+	// Objects is the base URL of the object store. Required.
 	Objects string `yaml:"objects"`
-	// HostList is the host list. Default: the URL of the table service.
+	// Bucket is the bucket in the object store. Default: greengagespoke.
+	Bucket string `yaml:"bucket"`
+	// HostList is the URL of the host list. Required.
 	HostList string `yaml:"host_list"`
+	// Token is sent to the platform as a bearer token. Default: none is sent.
+	Token Secret `yaml:"token"`
 	// Timeout bounds one call to the platform. Default: 2s.
 	Timeout domain.Duration `yaml:"timeout"`
 }
--- a/adapters/settings/settings_test.go
+++ b/adapters/settings/settings_test.go
@@ -24,6 +24,8 @@
   mode: none
 platform:
   tables: http://10.0.0.9:7300
+  objects: http://10.0.0.9:7300
+  host_list: http://10.0.0.9:7300/hosts
 `
 
 func TestParseFillsDefaults(t *testing.T) {
@@ -31,8 +33,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Platform.Objects != "http://10.0.0.9:7300" || s.Listen.Peers.Advertise != "10.0.0.5:7001" {
-		t.Errorf("derived defaults are %q and %q", s.Platform.Objects, s.Listen.Peers.Advertise)
+	if s.Platform.Bucket != "greengagespoke" || s.Listen.Peers.Advertise != "10.0.0.5:7001" {
+		t.Errorf("defaults are %q and %q", s.Platform.Bucket, s.Listen.Peers.Advertise)
 	}
 	if s.Timings.TablePoll.D() != 2*time.Second {
 		t.Errorf("table_poll is %s, want 2s", s.Timings.TablePoll.D())
@@ -55,7 +57,7 @@
 		{"unknown section", "auth:", "limts:\n  x: 1\nauth:", 11, "limts", "unknown key"},
 		{"missing value", "  id: dakar-1-a", "  id:", 2, "host.id", "missing"},
 		{"missing key", "  id: dakar-1-a\n", "", 1, "host.id", "missing"},
-		{"missing section", "platform:\n  tables: http://10.0.0.9:7300\n", "", 1, "platform.tables", "missing"},
+		{"missing section", good[strings.Index(good, "platform:"):], "", 1, "platform.tables", "missing"},
 		{"number for text", "id: dakar-1-a", "id: 7", 2, "host.id", "wrong type"},
 		{"list for text", "id: dakar-1-a", "id: [a]", 2, "host.id", "wrong type"},
 		{"text for mapping", "listen:\n  callers:\n    address: 10.0.0.5:7000", "listen:\n  callers: 10.0.0.5:7000", 5, "listen.callers", "wrong type"},
@@ -64,8 +66,9 @@
 		{"no port", "10.0.0.5:7001", "10.0.0.5", 8, "listen.peers.address", "not an address"},
 		{"same address", "10.0.0.5:7001", "10.0.0.5:7000", 8, "listen.peers.address", "also"},
 		{"unreachable", "10.0.0.5:7001", "0.0.0.0:7001", 7, "listen.peers.advertise", "cannot be reached"},
-		{"URL without scheme", "http://10.0.0.9:7300", "10.0.0.9:7300", 14, "platform.tables", "not a base URL"},
-		{"URL with host name", "http://10.0.0.9:7300", "http://platform:7300", 14, "platform.tables", "not a base URL"},
+		{"bucket with a slash", "platform:", "platform:\n  bucket: a/b", 14, "platform.bucket", "not a bucket"},
+		{"URL without scheme", "http://10.0.0.9:7300", "10.0.0.9:7300", 14, "platform.tables", "not the URL"},
+		{"URL with host name", "http://10.0.0.9:7300", "http://platform:7300", 14, "platform.tables", "not the URL"},
 		{"no unit", "auth:", "timings:\n  table_poll: 2\nauth:", 12, "timings.table_poll", "has no unit"},
 		{"wrong unit", "auth:", "timings:\n  table_poll: 2 parsecs\nauth:", 12, "timings.table_poll", "not a duration"},
 		{"negative", "auth:", "timings:\n  table_poll: -2s\nauth:", 12, "timings.table_poll", "negative"},
