--- a/domain/tables.go
+++ b/domain/tables.go
@@ -38,13 +38,16 @@
 // Route is a row of the routes table. A model route matches requests for a
 // model by name; a service route matches a path prefix.
 type Route struct {
+	// Name is the key of the row.
 	Name RouteName `json:"name" yaml:"name"`
-	Pool PoolName  `json:"pool" yaml:"pool"`
+	// Pool is the name of the pool that serves the route.
+	Pool PoolName `json:"pool" yaml:"pool"`
 	// Model is the model name that callers ask for; empty on service routes.
 	Model string `json:"model,omitempty" yaml:"model,omitempty"`
 	// PathPrefix is matched against the request path; empty on model routes.
 	PathPrefix string `json:"path_prefix,omitempty" yaml:"path_prefix,omitempty"`
-	Class      Class  `json:"class" yaml:"class"`
+	// Class is interactive or patient: how requests wait for a decode place.
+	Class Class `json:"class" yaml:"class"`
 	// FirstToken is the time-to-first-token target.
 	FirstToken Duration `json:"first_token,omitempty" yaml:"first_token,omitempty"`
 	// BetweenTokens is the time-between-tokens target.
@@ -66,12 +69,16 @@
 
 // Pool is a row of the pools table.
 type Pool struct {
+	// Name is the key of the row.
 	Name PoolName `json:"name" yaml:"name"`
+	// Kind is model for engines or service for plain services.
 	Kind PoolKind `json:"kind" yaml:"kind"`
-	// Model, Adapter and Version are what the engines of the pool should serve.
-	Model   string `json:"model,omitempty" yaml:"model,omitempty"`
+	// Model is what the engines of a model pool should serve.
+	Model string `json:"model,omitempty" yaml:"model,omitempty"`
+	// Adapter is what the engines should load on top of the model; empty for none.
 	Adapter string `json:"adapter,omitempty" yaml:"adapter,omitempty"`
-	Version int    `json:"version,omitempty" yaml:"version,omitempty"`
+	// Version is the version of model and adapter that the engines should serve.
+	Version int `json:"version,omitempty" yaml:"version,omitempty"`
 	// ServingMinimum is the number of upstreams that loads and role changes
 	// never go below.
 	ServingMinimum int `json:"serving_minimum,omitempty" yaml:"serving_minimum,omitempty"`
@@ -79,23 +86,28 @@
 	ChecksFencing bool `json:"checks_fencing,omitempty" yaml:"checks_fencing,omitempty"`
 	// ChecksIdempotencyKey says that the services deduplicate calls by key.
 	ChecksIdempotencyKey bool `json:"checks_idempotency_key,omitempty" yaml:"checks_idempotency_key,omitempty"`
-	// MinPrefill and MaxPrefill bound the number of engines in the prefill role.
-	// Equal values switch role changes off.
-	MinPrefill int        `json:"min_prefill,omitempty" yaml:"min_prefill,omitempty"`
-	MaxPrefill int        `json:"max_prefill,omitempty" yaml:"max_prefill,omitempty"`
-	Upstreams  []Upstream `json:"upstreams" yaml:"upstreams"`
+	// MinPrefill is the smallest number of engines in the prefill role.
+	MinPrefill int `json:"min_prefill,omitempty" yaml:"min_prefill,omitempty"`
+	// MaxPrefill is the largest number of engines in the prefill role. Equal
+	// bounds switch role changes off.
+	MaxPrefill int `json:"max_prefill,omitempty" yaml:"max_prefill,omitempty"`
+	// Upstreams are the engines or services of the pool.
+	Upstreams []Upstream `json:"upstreams" yaml:"upstreams"`
 }
 
 // Upstream is one engine or service of a pool.
 type Upstream struct {
-	ID   UpstreamID `json:"id" yaml:"id"`
-	Zone Zone       `json:"zone" yaml:"zone"`
+	// ID is the name of the upstream, unique over all pools.
+	ID UpstreamID `json:"id" yaml:"id"`
+	// Zone is the availability zone of the upstream.
+	Zone Zone `json:"zone" yaml:"zone"`
 	// Address is host:port, with an IP number as the host.
 	Address string `json:"address" yaml:"address"`
-	Role    Role   `json:"role" yaml:"role"`
+	// Role is prefill or decode in model pools and service in service pools.
+	Role Role `json:"role" yaml:"role"`
 	// Slots is the number of requests a decode engine runs at a time.
 	Slots int `json:"slots,omitempty" yaml:"slots,omitempty"`
-	// Pieces is the KV cache memory of a decode engine in pieces of PieceTokens.
+	// Pieces is the KV cache memory of a decode engine in pieces of 1,024 tokens.
 	Pieces int `json:"pieces,omitempty" yaml:"pieces,omitempty"`
 	// PrefillRate is the prompt tokens per second that a prefill engine computes.
 	PrefillRate int `json:"prefill_rate,omitempty" yaml:"prefill_rate,omitempty"`
