--- a/adapters/cli/exit.go
+++ b/adapters/cli/exit.go
@@ -5,8 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
-
-	"github.com/rotisserie/eris"
+	"strings"
 
 	"greengagespoke/adapters/strictyaml"
 	"greengagespoke/domain"
@@ -86,5 +85,5 @@
 	if errors.Is(err, context.Canceled) {
 		err = errors.New("interrupted")
 	}
-	fmt.Fprintln(w, "greengagespoke:", eris.ToString(eris.Cause(err), false))
+	fmt.Fprintln(w, "greengagespoke:", strings.Join(strings.Fields(err.Error()), " "))
 }
--- /dev/null
+++ b/adapters/cli/standin.go
@@ -0,0 +1,12 @@
+package cli
+
+// standinCommand runs stand-ins for what lies outside the system.
+func standinCommand() *command {
+	return &command{
+		name:    "standin",
+		summary: "run a stand-in of the platform, a model engine or a plain service",
+		help: `Stand-ins are for trying things out on one machine. They keep everything in
+memory and end with SIGTERM.`,
+		children: []*command{standinPlatformCommand()},
+	}
+}
