Add a client of the entry hosts and the commands call and entrypoints

The client asks which addresses to use, and goes on at the next one after the last part of the answer that it has. A call to a plain service is sent again only where that is harmless.

--- a/adapters/cli/cli.go
+++ b/adapters/cli/cli.go
@@ -34,8 +34,10 @@
 // commands returns all subcommands.
 func commands() []*command {
 	return []*command{
-		settingsCommand(),
+		entrypointsCommand(),
+		callCommand(),
 		standinCommand(),
+		settingsCommand(),
 		versionCommand(),
 	}
 }
--- a/adapters/cli/exit.go
+++ b/adapters/cli/exit.go
@@ -85,5 +85,20 @@
 	if errors.Is(err, context.Canceled) {
 		err = errors.New("interrupted")
 	}
-	fmt.Fprintln(w, "greengagespoke:", strings.Join(strings.Fields(err.Error()), " "))
+	printf(w, "greengagespoke: %s\n", oneLine(err.Error()))
+}
+
+// oneLine joins the lines of a text.
+func oneLine(text string) string {
+	return strings.Join(strings.Fields(text), " ")
+}
+
+// serviceStatusError means that a plain service answered with an error status.
+type serviceStatusError struct {
+	status int
+}
+
+// Error implements error.
+func (e *serviceStatusError) Error() string {
+	return fmt.Sprintf("the service answered with status %d; its answer says why", e.status)
 }
--- /dev/null
+++ b/adapters/gateclient/send.go
@@ -0,0 +1,20 @@
+package gateclient
+
+import (
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// send sends a request and returns the answer once its headers are there. The
+// error is *UnreachableError, which says whether the request may have left.
+func (c *Client) send(req *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	req = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, &UnreachableError{Address: req.URL.Host, Sent: connected.Load(), Err: err}
+	}
+	return resp, nil
+}
