--- a/adapters/cli/standin.go
+++ b/adapters/cli/standin.go
@@ -7,6 +7,6 @@
 		summary: "run a stand-in of the platform, a model engine or a plain service",
 		help: `Stand-ins are for trying things out on one machine. They keep everything in
 memory and end with SIGTERM.`,
-		children: []*command{standinPlatformCommand()},
+		children: []*command{standinPlatformCommand(), standinEngineCommand(), standinServiceCommand()},
 	}
 }
