Find the requests that crash upstreams and keep suspects apart

Cause: a crash takes about twenty requests with it, and the poisonous one is sent again. Change: quarantine counts strikes by fingerprint, explains shared crashes once the culprit is found and spreads strikes; the keeper confirms a reported crash by a listing, gives strikes to all requests on the upstream, keeps suspects apart and away from upstreams that they crashed, and runs a suspect once at a time. Conclusion: with 119 innocents on six decode upstreams and hosts that tell each other nothing, the poisonous request crashes three upstreams and is refused, and all innocents are answered (TestPoisonCrashesAtMostThreeUpstreams).

--- a/keeper/acquire.go
+++ b/keeper/acquire.go
@@ -87,18 +87,23 @@
 
 // supersede ends an older attempt at a request and queues the newer one.
 func (g *group) supersede(r *request, req domain.PlaceRequest, now time.Time) *waiter {
-	g.endOlder(r)
+	g.endOlder(r, req.ID.Attempt, req.Holder)
 	return g.enqueue(req, now)
 }
 
-// endOlder ends an attempt that a newer one replaces.
-func (g *group) endOlder(r *request) {
+// endOlder ends an attempt that a newer one of the given holder replaces. Another
+// holder is told; the same one knows.
+func (g *group) endOlder(r *request, attempt int, holder domain.HostID) {
 	g.keeper.metrics.superseded.Add(1)
 	if r.waiter != nil {
 		g.finish(r.waiter, domain.Grant{}, refuseSuperseded())
 		return
 	}
-	g.revoke(r.grant, true)
+	newer := 0
+	if holder != r.grant.Holder {
+		newer = attempt
+	}
+	g.revoke(r.grant, newer)
 }
 
 // enqueue queues a request and serves the queue.
@@ -157,6 +162,9 @@
 }
 
 func (g *group) verdict(w *waiter, now time.Time) error {
+	if refusal := g.refreshSuspicion(w); refusal != nil {
+		return refusal
+	}
 	if refusal := g.impossible(w); refusal != nil {
 		return refusal
 	}
--- a/keeper/config.go
+++ b/keeper/config.go
@@ -36,6 +36,19 @@
 	GatePeer(host domain.HostID) ports.GatePeer
 }
 
+// Quarantine knows the requests that crash upstreams. *quarantine.List
+// implements it.
+type Quarantine interface {
+	// Check returns a refusal for a request that may not run now, or nil.
+	Check(fingerprint uint64) *domain.Refusal
+	// Suspect returns whether an upstream crashed while it ran the request.
+	Suspect(fingerprint uint64) bool
+	// Strikes returns the upstreams that crashed while they ran the request.
+	Strikes(fingerprint uint64) []domain.UpstreamID
+	// Crashed adds a strike to all requests that ran on a crashed upstream.
+	Crashed(upstream domain.UpstreamID, fingerprints []uint64)
+}
+
 // Config holds what a keeper needs.
 type Config struct {
 	// Self and Zone are the identifier and the availability zone of this host.
@@ -52,6 +65,8 @@
 	// GatePeers lets a gate end an attempt that a newer one replaces. It may be
 	// nil: then the attempt is canceled on its engines only.
 	GatePeers GatePeers
+	// Quarantine is told of crashes and asked about requests. It may be nil.
+	Quarantine Quarantine
 	// Scope says which upstreams share a group; empty means ScopeRegion.
 	Scope groups.Scope
 	// PatientShare is the part of the service that waiting patient requests
--- a/keeper/counters.go
+++ b/keeper/counters.go
@@ -51,6 +51,10 @@
 		"failed calls that tell a gate of the end of its attempt")
 	defHostListErrors = counters.Define("keeper_host_list_errors",
 		"failed readings of the host list")
+	defCrashes = counters.Define("keeper_crashes",
+		"crashes of decode upstreams that a listing confirmed")
+	defFalseCrashes = counters.Define("keeper_crashes_denied",
+		"reported crashes of upstreams that still ran the requests")
 	defCacheEvents = counters.Define("keeper_cache_events",
 		"cache events taken in")
 	defGroups = counters.Define("keeper_groups",
@@ -66,7 +70,7 @@
 	promises, promisesLate, promisesMoved     *expvar.Int
 	strays, cancels, tookOut                  *expvar.Int
 	engineErrors, gateErrors, hostListErrors  *expvar.Int
-	cacheEvents                               *expvar.Int
+	cacheEvents, crashes, falseCrashes        *expvar.Int
 }
 
 func newMetrics(set *counters.Set) *metrics {
@@ -95,5 +99,7 @@
 		gateErrors:     set.Int(defGateErrors),
 		hostListErrors: set.Int(defHostListErrors),
 		cacheEvents:    set.Int(defCacheEvents),
+		crashes:        set.Int(defCrashes),
+		falseCrashes:   set.Int(defFalseCrashes),
 	}
 }
--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -26,7 +26,7 @@
 	g.snapshot(now)
 	for g.hasRoom() {
 		served := g.queue.Serve(func(e *fairqueue.Entry[*waiter]) bool { return g.try(e, now) })
-		g.refuseHopeless()
+		g.finishRefused()
 		if served == nil {
 			break
 		}
@@ -53,15 +53,21 @@
 	g.dispatch(time.Now())
 }
 
-// refuseHopeless refuses the requests that were found to miss their target.
-func (g *group) refuseHopeless() {
-	for _, w := range g.hopeless {
-		if w.entry.Waiting() {
-			g.keeper.metrics.late.Add(1)
-			g.finish(w, domain.Grant{}, refuseLate(g.predictedWait(w)))
+// refused is a waiting request with the refusal that it is to receive.
+type refused struct {
+	waiter  *waiter
+	refusal *domain.Refusal
+}
+
+// finishRefused refuses the requests that were found not to run. They leave the
+// queue only here, as it does not change while it serves.
+func (g *group) finishRefused() {
+	for _, r := range g.refused {
+		if r.waiter.entry.Waiting() {
+			g.finish(r.waiter, domain.Grant{}, r.refusal)
 		}
 	}
-	g.hopeless = g.hopeless[:0]
+	g.refused = g.refused[:0]
 }
 
 // snapshot takes the state for placement decisions.
@@ -111,13 +117,21 @@
 	if w.calls == 0 || w.blockers > 0 {
 		return false
 	}
+	if refusal := g.refreshSuspicion(w); refusal != nil {
+		g.refused = append(g.refused, refused{w, refusal})
+		return false
+	}
+	if g.mustWait(w) {
+		return false
+	}
 	pair, ok := g.decide(w)
 	if !ok {
 		g.reserve(w)
 		return false
 	}
 	if left, bounded := w.left(now); bounded && pair.FirstToken > left {
-		g.hopeless = append(g.hopeless, w)
+		g.keeper.metrics.late.Add(1)
+		g.refused = append(g.refused, refused{w, refuseLate(pair.FirstToken - left)})
 		return false
 	}
 	g.grant(w, pair, now)
@@ -129,7 +143,11 @@
 	for i, d := range g.decode {
 		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
 	}
-	return g.scheduler.Decide(&g.snap, placementRequest(&w.req), &g.decision)
+	req := placementRequest(&w.req)
+	if w.req.Suspect {
+		req.Avoid = g.avoidCrashed(&w.req)
+	}
+	return g.scheduler.Decide(&g.snap, req, &g.decision)
 }
 
 func placementRequest(req *domain.PlaceRequest) *placement.Request {
@@ -183,6 +201,7 @@
 			Term:           grantTerm,
 			DecodeIn:       pair.DecodeIn,
 			Suspect:        w.req.Suspect,
+			Fingerprint:    w.req.Fingerprint,
 		},
 		route:    w.req.Route,
 		class:    w.req.Class,
@@ -195,6 +214,7 @@
 		avoid:    w.req.Avoid,
 	}
 	d.take(gr)
+	g.countSuspect(gr, 1)
 	if pair.DecodeIn > 0 {
 		gr.due = now.Add(pair.DecodeIn)
 		d.promise(gr)
--- a/keeper/fake_test.go
+++ b/keeper/fake_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"greengagespoke/counters"
@@ -200,7 +201,8 @@
 	})
 }
 
-// start runs the keeper until the test ends.
+// start runs the keeper until the test ends and waits until it has listed the
+// engines.
 func (b *bench) start(t testing.TB, k *Keeper) (stop func()) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
@@ -209,6 +211,7 @@
 		defer close(done)
 		_ = k.Run(ctx)
 	}()
+	synctest.Wait()
 	return func() {
 		cancel()
 		<-done
--- a/keeper/grants.go
+++ b/keeper/grants.go
@@ -45,11 +45,12 @@
 		if attempt >= wanted.Request.Attempt {
 			return false
 		}
-		g.endOlder(r)
+		g.endOlder(r, wanted.Request.Attempt, holder)
 	}
 	wanted.Holder = holder
 	gr := &grant{Grant: wanted, granted: now, expires: now.Add(grantTerm), decoding: now, limit: wanted.ExpectedTokens}
 	d.take(gr)
+	g.countSuspect(gr, 1)
 	g.grants[gr.ID] = gr
 	g.requests[wanted.Request.Key()] = &request{grant: gr}
 	g.keeper.metrics.adopted.Add(1)
@@ -87,8 +88,16 @@
 }
 
 // judge notes how a grant ended on its upstreams. After a failure they are asked
-// at once whether they still answer.
+// at once whether they still answer. A promise that was not kept says nothing
+// about them.
 func (g *group) judge(gr *grant, reason domain.ReleaseReason, now time.Time) {
+	if reason == domain.ReleaseCrashed {
+		g.crashReported(gr, now)
+		return
+	}
+	if gr.promised {
+		return
+	}
 	for _, u := range g.upstreams() {
 		if u.up.ID != gr.Decode && u.up.ID != gr.Prefill {
 			continue
@@ -113,7 +122,7 @@
 	if gr.route == "" {
 		return
 	}
-	if r.Reason == domain.ReleaseFailed {
+	if r.Reason == domain.ReleaseFailed || r.Reason == domain.ReleaseCrashed {
 		g.queue.Charge(gr.Request.Caller, gr.class, gr.weight, -gr.cost)
 	}
 	if r.Reason != domain.ReleaseDone || r.OutputTokens <= 0 {
@@ -145,6 +154,7 @@
 	if d, ok := g.byDecode[gr.Decode]; ok {
 		d.give(gr)
 	}
+	g.countSuspect(gr, -1)
 	g.keeper.metrics.held.Add(-1)
 }
 
@@ -155,7 +165,7 @@
 	defer g.mu.Unlock()
 	for _, gr := range g.overdue(now) {
 		g.keeper.metrics.expired.Add(1)
-		g.revoke(gr, false)
+		g.revoke(gr, 0)
 	}
 	for _, w := range g.abandoned(now) {
 		g.keeper.metrics.dropped.Add(1)
--- a/keeper/group.go
+++ b/keeper/group.go
@@ -39,11 +39,13 @@
 	ended map[domain.AttemptID]time.Time
 	lost  map[domain.GrantID]time.Time
 	queue *fairqueue.Queue[*waiter]
-	// hopeless are waiting requests found to miss their target while they were
+	// suspects counts the grants of suspect requests by fingerprint.
+	suspects map[uint64]int
+	// refused are waiting requests that were found not to run while they were
 	// offered a place.
-	hopeless []*waiter
-	lengths  map[domain.RouteName]*lengths
-	pace     pace
+	refused []refused
+	lengths map[domain.RouteName]*lengths
+	pace    pace
 
 	index     *placement.PrefixIndex
 	scheduler *placement.Scheduler
@@ -97,6 +99,7 @@
 		revoking:  make(map[domain.AttemptID]*grant),
 		ended:     make(map[domain.AttemptID]time.Time),
 		lost:      make(map[domain.GrantID]time.Time),
+		suspects:  make(map[uint64]int),
 		queue:     fairqueue.New[*waiter](k.cfg.PatientShare),
 		lengths:   make(map[domain.RouteName]*lengths),
 		index:     index,
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -21,9 +21,10 @@
 // list asks an engine what it runs. The caller holds the lock.
 func (g *group) list(u *upstreamState) {
 	if u.listing {
+		u.listAgain = true
 		return
 	}
-	u.listing = true
+	u.listing, u.listAgain = true, false
 	engine := g.keeper.cfg.Upstreams.Engine(u.up)
 	began := time.Now()
 	g.keeper.tasks.spawn(func(ctx context.Context) {
@@ -43,8 +44,13 @@
 	if g.closed {
 		return
 	}
+	if u.listAgain {
+		g.list(u)
+	}
+	g.confirmCrash(u, began, running)
 	if err != nil {
 		g.callFailed(u, err)
+		g.dispatch(now)
 		return
 	}
 	if u.listed && u.failures >= failureBound {
--- /dev/null
+++ b/keeper/poison_test.go
@@ -0,0 +1,180 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+	"greengagespoke/quarantine"
+)
+
+const (
+	poisonTime  = 300 * time.Millisecond
+	restartTime = 2 * time.Second
+	answerTime  = 4 * time.Second
+)
+
+// crashingFleet is a set of engines that die when they run the poisonous request.
+type crashingFleet struct {
+	*bench
+	quarantine *quarantine.List
+	crashes    atomic.Int32
+
+	mu sync.Mutex
+	// boots holds a channel for each engine that is closed when it dies.
+	boots map[domain.UpstreamID]chan struct{}
+}
+
+func newCrashingFleet(s size) *crashingFleet {
+	f := &crashingFleet{bench: newBench(s, nil), boots: make(map[domain.UpstreamID]chan struct{})}
+	f.quarantine = quarantine.New(quarantine.Config{Counters: f.counters})
+	f.keeper.cfg.Quarantine = f.quarantine
+	for id := range f.upstreams.engines {
+		f.boots[id] = make(chan struct{})
+	}
+	return f
+}
+
+func (f *crashingFleet) boot(id domain.UpstreamID) chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.boots[id]
+}
+
+// die restarts an engine without its attempts.
+func (f *crashingFleet) die(id domain.UpstreamID) {
+	f.crashes.Add(1)
+	e := f.engine(id)
+	e.setDown(true)
+	e.mu.Lock()
+	e.running = nil
+	e.mu.Unlock()
+	f.mu.Lock()
+	close(f.boots[id])
+	f.boots[id] = make(chan struct{})
+	f.mu.Unlock()
+	time.AfterFunc(restartTime, func() { e.setDown(false) })
+}
+
+// serve runs one request through as many hosts as it needs, and returns nil once
+// it was answered. A poisonous request kills the engine that runs it.
+func (f *crashingFleet) serve(t *testing.T, req domain.PlaceRequest, poison bool) error {
+	for attempt := 1; ; attempt++ {
+		req.ID.Attempt = attempt
+		req.Holder = domain.HostID(fmt.Sprintf("g%d", attempt%5))
+		grant, err := f.keeper.Acquire(t.Context(), testGroup, req)
+		for errors.Is(err, ports.ErrStillQueued) {
+			grant, err = f.keeper.Acquire(t.Context(), testGroup, req)
+		}
+		if err != nil {
+			return err
+		}
+		reason := f.decode(grant, req, poison)
+		_ = f.keeper.Release(t.Context(), testGroup, []domain.Release{{Grant: grant, Reason: reason, OutputTokens: 100}})
+		if reason == domain.ReleaseDone {
+			f.quarantine.Finished(req.Fingerprint)
+			return nil
+		}
+	}
+}
+
+func (f *crashingFleet) decode(grant domain.Grant, req domain.PlaceRequest, poison bool) domain.ReleaseReason {
+	engine, boot := f.engine(grant.Decode), f.boot(grant.Decode)
+	engine.run(decoding(req))
+	if poison {
+		select {
+		case <-time.After(poisonTime):
+			f.die(grant.Decode)
+		case <-boot:
+		}
+		return domain.ReleaseCrashed
+	}
+	select {
+	case <-time.After(answerTime):
+		_ = engine.Cancel(context.Background(), req.ID)
+		return domain.ReleaseDone
+	case <-boot:
+		return domain.ReleaseCrashed
+	}
+}
+
+// TestPoisonCrashesAtMostThreeUpstreams runs one poisonous request, which is sent
+// again and again through different hosts, among full batches of innocents. The
+// hosts tell each other nothing: only the keeper's list counts.
+func TestPoisonCrashesAtMostThreeUpstreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashingFleet(size{3, 6, 20, 400})
+		defer f.start(t, f.keeper)()
+		var wg sync.WaitGroup
+		for i := range 119 {
+			wg.Go(func() {
+				req := place(domain.CallerID(fmt.Sprint("c", i%7)), fmt.Sprint(i), 1)
+				req.Fingerprint = uint64(1000 + i)
+				if err := f.serve(t, req, false); err != nil {
+					t.Errorf("innocent %d: %v", i, err)
+				}
+			})
+		}
+		wg.Go(func() {
+			req := place("poison", "p", 1)
+			req.Fingerprint = 666
+			wantRefusal(t, f.serve(t, req, true), domain.RefusalQuarantined)
+		})
+		began := time.Now()
+		wg.Wait()
+		if got := f.crashes.Load(); got != quarantine.DefaultStrikes {
+			t.Errorf("%d upstreams crashed, want %d", got, quarantine.DefaultStrikes)
+		}
+		t.Logf("all answered after %v", time.Since(began))
+	})
+}
+
+// TestPoisonSentManyTimesAtOnce checks that copies of a known suspect do not run
+// at the same time.
+func TestPoisonSentManyTimesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashingFleet(size{3, 9, 20, 400})
+		defer f.start(t, f.keeper)()
+		f.quarantine.Crashed("elsewhere", []uint64{666})
+		var wg sync.WaitGroup
+		for i := range 10 {
+			wg.Go(func() {
+				req := place("poison", fmt.Sprint(i), 1)
+				req.Fingerprint = 666
+				wantRefusal(t, f.serve(t, req, true), domain.RefusalQuarantined)
+			})
+		}
+		wg.Wait()
+		if got := f.crashes.Load(); got != quarantine.DefaultStrikes-1 {
+			t.Errorf("%d more upstreams crashed, want %d", got, quarantine.DefaultStrikes-1)
+		}
+	})
+}
+
+// TestReportedCrashIsChecked checks that a holder that lost its connection makes
+// no suspects of requests that still run.
+func TestReportedCrashIsChecked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newCrashingFleet(size{1, 1, 4, 100})
+		defer f.start(t, f.keeper)()
+		var grants []domain.Grant
+		for i := range 3 {
+			req := place("a", fmt.Sprint(i), 1)
+			req.Fingerprint = uint64(i + 1)
+			grants = append(grants, mustAcquire(t, f.keeper, req))
+			f.engine("d0").run(decoding(req))
+		}
+		_ = f.keeper.Release(t.Context(), testGroup, []domain.Release{{Grant: grants[0], Reason: domain.ReleaseCrashed}})
+		synctest.Wait()
+		if f.quarantine.Suspect(2) || f.counters.Int(defFalseCrashes).Value() != 1 {
+			t.Error("requests that still run became suspects")
+		}
+	})
+}
--- a/keeper/revoke.go
+++ b/keeper/revoke.go
@@ -29,8 +29,9 @@
 )
 
 // revoke takes a grant back from its holder: its attempt is canceled on its
-// engines, and only then is the place free.
-func (g *group) revoke(gr *grant, tellGate bool) {
+// engines, and only then is the place free. The holder is told of the newer
+// attempt, unless that is 0.
+func (g *group) revoke(gr *grant, newer int) {
 	if gr.revoking {
 		return
 	}
@@ -42,8 +43,8 @@
 	g.revoking[gr.Request] = gr
 	engines := g.enginesOf(gr)
 	g.keeper.tasks.spawn(func(ctx context.Context) {
-		if tellGate {
-			g.keeper.tellGate(ctx, gr.Holder, gr.Request)
+		if newer > 0 {
+			g.keeper.tellGate(ctx, gr.Holder, gr.Request.Key(), newer)
 		}
 		for _, up := range engines {
 			g.keeper.cancelOn(ctx, up, gr.Request)
@@ -106,15 +107,15 @@
 	})
 }
 
-// tellGate asks the holder of an attempt to end it, so that it delivers nothing
-// more.
-func (k *Keeper) tellGate(ctx context.Context, holder domain.HostID, id domain.AttemptID) {
+// tellGate asks the holder of an older attempt to end it, so that it delivers
+// nothing more.
+func (k *Keeper) tellGate(ctx context.Context, holder domain.HostID, key domain.RequestKey, newer int) {
 	if k.cfg.GatePeers == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, gateCallTimeout)
 	defer cancel()
-	if _, err := k.cfg.GatePeers.GatePeer(holder).Supersede(ctx, id.Key(), id.Attempt+1); err != nil {
+	if _, err := k.cfg.GatePeers.GatePeer(holder).Supersede(ctx, key, newer); err != nil {
 		k.metrics.gateErrors.Add(1)
 	}
 }
--- a/keeper/upstream.go
+++ b/keeper/upstream.go
@@ -29,8 +29,13 @@
 	// listed says that the engine answered a listing since the group is kept
 	// here; before that nothing is known of its use.
 	listed bool
-	// listing says that a listing is under way.
-	listing bool
+	// listing says that a listing is under way, and listAgain that another is
+	// wanted after it.
+	listing, listAgain bool
+	// crash is a reported crash that a listing has not confirmed yet.
+	crash *crash
+	// crashedAt is the time of the last reported crash.
+	crashedAt time.Time
 	// failures counts failed calls in a row, failedGrants failed grants.
 	failures, failedGrants int
 	// restUntil is the end of the time for which it receives no grants.
--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,127 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"greengagespoke/counters"
+	"greengagespoke/domain"
+)
+
+func newList() *List { return New(Config{Counters: counters.NewSet()}) }
+
+func TestThreeDistinctUpstreamsQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newList()
+		for _, up := range []domain.UpstreamID{"u1", "u1", "u2"} {
+			l.Crashed(up, []uint64{7})
+		}
+		if r := l.Check(7); r != nil {
+			t.Fatalf("refused after two distinct upstreams: %v", r)
+		}
+		l.Crashed("u3", []uint64{7})
+		r := l.Check(7)
+		if r == nil || r.Kind != domain.RefusalQuarantined || r.Ran != domain.RanNo || r.RetryAfter <= 0 {
+			t.Fatalf("got %+v, want a refusal that did not run, with a retry time", r)
+		}
+		time.Sleep(DefaultTerm + time.Second)
+		if l.Check(7) != nil || l.Suspect(7) {
+			t.Error("still refused after the term")
+		}
+	})
+}
+
+// TestSmallPoolIsProtected checks that a request is refused that crashes the same
+// two upstreams again and again.
+func TestSmallPoolIsProtected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newList()
+		for i := range DefaultStrikes + extraCrashes {
+			if l.Check(7) != nil {
+				t.Fatalf("refused after %d crashes of two upstreams", i)
+			}
+			l.Crashed(domain.UpstreamID(fmt.Sprint("u", i%2)), []uint64{7})
+			time.Sleep(sameCrash)
+		}
+		if l.Check(7) == nil {
+			t.Error("never refused")
+		}
+	})
+}
+
+// TestSharedCrashesAreExplained checks that requests that shared a crash with
+// the culprit are no longer suspect once it is found.
+func TestSharedCrashesAreExplained(t *testing.T) {
+	l := newList()
+	batch := []uint64{1, 2, 3, 4, 99}
+	l.Crashed("u1", batch)
+	for _, f := range batch {
+		if !l.Suspect(f) {
+			t.Errorf("request %d is not suspect after the crash", f)
+		}
+	}
+	l.Crashed("u2", []uint64{5, 99})
+	l.Crashed("u3", []uint64{6, 99})
+	for f := uint64(1); f <= 6; f++ {
+		if l.Suspect(f) || l.Check(f) != nil {
+			t.Errorf("innocent %d is still suspect or refused", f)
+		}
+	}
+	if l.Check(99) == nil {
+		t.Error("the culprit is not refused")
+	}
+}
+
+func TestFinishingClearsForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, peer := newList(), newList()
+		l.Crashed("u1", []uint64{1})
+		peer.Merge(l.Updates())
+		time.Sleep(time.Second)
+		l.Finished(1)
+		l.Merge(peer.Updates())
+		if l.Suspect(1) {
+			t.Error("an old strike from a peer made a cleared request suspect again")
+		}
+		time.Sleep(time.Second)
+		l.Crashed("u2", []uint64{1})
+		if !l.Suspect(1) {
+			t.Error("a later crash must count")
+		}
+	})
+}
+
+func TestStrikesSpread(t *testing.T) {
+	a, b, c := newList(), newList(), newList()
+	a.Crashed("u1", []uint64{1})
+	b.Crashed("u2", []uint64{1})
+	c.Crashed("u3", []uint64{1})
+	b.Merge(a.Updates())
+	c.Merge(b.Updates())
+	if c.Check(1) == nil {
+		t.Error("strikes of three hosts did not add up")
+	}
+	for range 100 {
+		c.Updates()
+	}
+	if n := len(c.Updates()); n != 0 {
+		t.Errorf("%d strikes are sent without end", n)
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newList()
+		for i := range 3 * maxRecords {
+			l.Crashed(domain.UpstreamID(fmt.Sprint("u", i%7)), []uint64{uint64(i + 1)})
+			if i%3 == 0 {
+				l.Finished(uint64(i + 1))
+			}
+		}
+		if held, marks := len(l.records.entries), len(l.cleared.entries); held > maxRecords || marks > maxRecords || len(l.records.order) > 2*maxRecords {
+			t.Errorf("%d records and %d marks held", held, marks)
+		}
+	})
+}
