--- a/adapters/tablefile/diff.go
+++ b/adapters/tablefile/diff.go
@@ -98,10 +98,7 @@
 		if named[rowKey{row.Table, row.Row}] {
 			continue
 		}
-		out = append(out, RowChange{
-			Table: row.Table, Row: row.Row, Version: row.Version,
-			Before: row.Value, Fields: DiffJSON(row.Value, nil),
-		})
+		out = append(out, Removal(row))
 	}
 	sort.SliceStable(out, func(i, j int) bool {
 		return out[i].Table == domain.TableRoutes && out[j].Table != domain.TableRoutes
--- a/adapters/tablefile/file_test.go
+++ b/adapters/tablefile/file_test.go
@@ -14,6 +14,7 @@
     pool: drafting-models
     model: plan-notes
     class: patient
+    max_output_tokens: 400
     timeout: 10m
 pools:
   - name: drafting-models
@@ -67,10 +68,10 @@
 		key, problem   string
 	}{
 		{"unknown key", "    class: patient", "    clas: patient", 5, "routes[0].clas", "unknown key"},
-		{"no unit", "timeout: 10m", "timeout: 10", 6, "routes[0].timeout", "has no unit"},
+		{"no unit", "timeout: 10m", "timeout: 10", 7, "routes[0].timeout", "has no unit"},
 		{"no name", "  - name: drafts\n    pool", "  - pool", 2, "routes[0].name", "missing"},
-		{"text for number", "slots: 20", "slots: many", 22, "pools[0].upstreams[1].slots", "wrong type"},
-		{"name twice", "pools:", "  - name: drafts\n    pool: p\n    class: patient\npools:", 7, "routes[1].name", "used twice"},
+		{"text for number", "slots: 20", "slots: many", 23, "pools[0].upstreams[1].slots", "wrong type"},
+		{"name twice", "pools:", "  - name: drafts\n    pool: p\n    class: patient\npools:", 8, "routes[1].name", "used twice"},
 		{"negative revision", "routes:", "revision: -1\nroutes:", 1, "revision", "negative"},
 	}
 	for _, c := range cases {
