--- a/adapters/settings/check_addresses.go
+++ b/adapters/settings/check_addresses.go
@@ -17,7 +17,8 @@
 func (c *checker) listener(key string, l Listener) {
 	c.present(l.Address, key+".address", addressRemedy)
 	listen, err := netip.ParseAddrPort(l.Address)
-	c.require(err == nil, key+".address", fmt.Sprintf("%q is not an address", l.Address), addressRemedy)
+	c.require(err == nil && listen.Port() != 0, key+".address",
+		fmt.Sprintf("%q is not an address", l.Address), addressRemedy)
 	if l.Advertise == "" {
 		c.require(!listen.Addr().IsUnspecified(), key+".advertise",
 			fmt.Sprintf("%s cannot be reached by others", l.Address),
@@ -39,9 +40,7 @@
 }
 
 func (c *checker) listenersDiffer(l Listen) {
-	addr, err := netip.ParseAddrPort(l.Peers.Address)
-	same := l.Callers.Address == l.Peers.Address && err == nil && addr.Port() != 0
-	c.require(!same, "listen.peers.address",
+	c.require(l.Callers.Address != l.Peers.Address, "listen.peers.address",
 		fmt.Sprintf("%s is also listen.callers.address", l.Peers.Address), "use another port")
 }
 
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -49,8 +49,7 @@
 
 // Listener is one listening socket.
 type Listener struct {
-	// Address is IP:PORT to listen on. Port 0 takes a free port, which is then
-	// advertised. Required.
+	// Address is IP:PORT to listen on. Required.
 	Address string `yaml:"address"`
 	// Advertise is the IP:PORT that others use to reach the listener. Default:
 	// the address. Required where the address is 0.0.0.0 or [::].
--- a/adapters/settings/settings_test.go
+++ b/adapters/settings/settings_test.go
@@ -63,6 +63,7 @@
 		{"text for mapping", "listen:\n  callers:\n    address: 10.0.0.5:7000", "listen:\n  callers: 10.0.0.5:7000", 5, "listen.callers", "wrong type"},
 		{"duplicate key", "  mode: none", "  mode: none\n  mode: token", 13, "auth.mode", "already on line 12"},
 		{"host name in address", "10.0.0.5:7000", "localhost:7000", 6, "listen.callers.address", "not an address"},
+		{"port 0", "10.0.0.5:7000", "10.0.0.5:0", 6, "listen.callers.address", "not an address"},
 		{"no port", "10.0.0.5:7001", "10.0.0.5", 8, "listen.peers.address", "not an address"},
 		{"same address", "10.0.0.5:7001", "10.0.0.5:7000", 8, "listen.peers.address", "also"},
 		{"unreachable", "10.0.0.5:7001", "0.0.0.0:7001", 7, "listen.peers.advertise", "cannot be reached"},
