--- a/adapters/cli/caller_flags.go
+++ b/adapters/cli/caller_flags.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"os"
+	"strings"
 
 	"github.com/integrii/flaggy"
 
@@ -30,7 +31,7 @@
 ` + tokenVariable + `. Hosts without authentication take the name in --caller.`
 
 func (f *hostFlags) define(sc *flaggy.Subcommand) {
-	sc.StringSlice(&f.hosts, "", "host", "entry host as IP:PORT or https://IP:PORT; repeatable (required)")
+	sc.StringSlice(&f.hosts, "", "host", "entry host as IP:PORT or https://IP:PORT; repeatable")
 	sc.String(&f.tokenFile, "", "token-file", "file with the caller's token")
 	sc.String(&f.caller, "", "caller", "name of the caller on hosts without authentication")
 	sc.String(&f.zone, "", "zone", "availability zone to be served from")
@@ -103,3 +104,11 @@
 		return err
 	}
 }
+
+// beside returns a host's address with the scheme of the first named host.
+func (f *hostFlags) beside(address string) string {
+	if len(f.hosts) > 0 && strings.HasPrefix(f.hosts[0], "https://") {
+		return "https://" + address
+	}
+	return address
+}
--- /dev/null
+++ b/adapters/cli/change_set.go
@@ -0,0 +1,114 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+
+	"greengagespoke/adapters/tablefile"
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+	"greengagespoke/tables"
+)
+
+// changeSet makes a list of row changes, one edit for each row.
+type changeSet struct {
+	editor  *tables.Editor
+	flags   editFlags
+	streams Streams
+	// read is the revision at which the operator read the rows; 0 where it is
+	// not known.
+	read domain.Revision
+}
+
+// make prints and makes the changes. It returns the last revision, or that of the
+// snapshot where there is nothing to change.
+func (s *changeSet) make(ctx context.Context, snapshot ports.TableSnapshot, changes []tablefile.RowChange) (domain.Revision, error) {
+	if len(changes) == 0 {
+		printf(s.streams.Out, "nothing to change at revision %d\n", snapshot.Revision)
+		return snapshot.Revision, nil
+	}
+	for _, c := range changes {
+		if err := s.checkRead(ctx, c); err != nil {
+			return 0, err
+		}
+	}
+	if s.flags.dryRun {
+		s.printDryRun(snapshot, changes)
+		return snapshot.Revision, nil
+	}
+	id := s.flags.editID
+	if id == "" {
+		id = rand.Text()
+	}
+	revision := snapshot.Revision
+	for i, c := range changes {
+		accepted, err := s.editor.Apply(ctx, domain.Edit{
+			ID:          fmt.Sprintf("%s.%s.%s", id, c.Table, c.Row),
+			Table:       c.Table,
+			Row:         c.Row,
+			BaseVersion: c.Version,
+			Value:       c.After,
+			Editor:      s.flags.editor,
+		})
+		if err != nil {
+			return revision, s.stopped(i, len(changes), id, err)
+		}
+		revision = accepted.Revision
+		printChange(s.streams, c)
+		printf(s.streams.Out, "accepted as revision %d\n", revision)
+	}
+	return revision, nil
+}
+
+// checkRead returns a conflict where the row changed after it was read.
+func (s *changeSet) checkRead(ctx context.Context, c tablefile.RowChange) error {
+	if s.read == 0 || (c.Version > 0 && c.Version <= s.read) {
+		return nil
+	}
+	later, err := s.editor.History(ctx, tables.HistoryFilter{Table: c.Table, Row: c.Row, After: s.read, Limit: 1})
+	if err != nil || len(later) == 0 {
+		return err
+	}
+	return &tables.ConflictError{
+		Table: c.Table, Row: c.Row,
+		Base: s.read, Current: later[0].Revision,
+		Wanted: c.After, Found: c.Before,
+		By: later[0].Editor, At: later[0].At,
+	}
+}
+
+// stopped adds to an error how far the list was done.
+func (s *changeSet) stopped(done, all int, id string, err error) error {
+	if all == 1 {
+		return fmt.Errorf("%w (edit id %s)", err, id)
+	}
+	return fmt.Errorf("%w (%d of %d rows were changed; edit id %s)", err, done, all, id)
+}
+
+func (s *changeSet) printDryRun(snapshot ports.TableSnapshot, changes []tablefile.RowChange) {
+	for _, c := range changes {
+		printChange(s.streams, c)
+	}
+	printf(s.streams.Out, "dry run at revision %d: %d rows would change\n", snapshot.Revision, len(changes))
+}
+
+// printChange prints one row's change, a line for each field.
+func printChange(streams Streams, c tablefile.RowChange) {
+	verb := "change"
+	switch {
+	case len(c.Before) == 0:
+		verb = "add"
+	case len(c.After) == 0:
+		verb = "remove"
+	}
+	printf(streams.Out, "%s %s/%s\n", verb, c.Table, c.Row)
+	for _, f := range c.Fields {
+		if f.Before != "" {
+			printf(streams.Out, "  - %s: %s\n", f.Path, f.Before)
+		}
+		if f.After != "" {
+			printf(streams.Out, "  + %s: %s\n", f.Path, f.After)
+		}
+	}
+}
--- a/adapters/cli/cli.go
+++ b/adapters/cli/cli.go
@@ -34,6 +34,7 @@
 // commands returns all subcommands.
 func commands() []*command {
 	return []*command{
+		tablesCommand(),
 		entrypointsCommand(),
 		callCommand(),
 		standinCommand(),
--- a/adapters/cli/exit.go
+++ b/adapters/cli/exit.go
@@ -10,6 +10,7 @@
 	"greengagespoke/adapters/strictyaml"
 	"greengagespoke/domain"
 	"greengagespoke/ports"
+	"greengagespoke/tables"
 )
 
 // ExitCode is the exit code of the program.
@@ -62,13 +63,17 @@
 func exitCode(err error) ExitCode {
 	var fault *Fault
 	var file *strictyaml.Error
+	var row *tables.InvalidRowError
+	var conflict *tables.ConflictError
 	switch {
 	case err == nil:
 		return ExitOK
 	case errors.As(err, &fault):
 		return fault.Code
-	case errors.As(err, &file):
+	case errors.As(err, &file), errors.As(err, &row):
 		return ExitUsage
+	case errors.As(err, &conflict):
+		return ExitConflict
 	case errors.Is(err, ports.ErrStoreUnknown):
 		return ExitUnknown
 	case errors.Is(err, ports.ErrStoreDown), errors.Is(err, ports.ErrStoreThrottled):
--- /dev/null
+++ b/adapters/cli/fleet.go
@@ -0,0 +1,158 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"greengagespoke/adapters/gateclient"
+	"greengagespoke/domain"
+)
+
+const (
+	// statusTimeout bounds the question to one host.
+	statusTimeout = 2 * time.Second
+	// statusParallel bounds the questions at a time.
+	statusParallel = 16
+)
+
+// hostState is what is known of one host.
+type hostState struct {
+	Host domain.HostID `json:"host"`
+	Zone domain.Zone   `json:"zone"`
+	// State is the host's own state, or that seen by its peers where it does not
+	// answer.
+	State    domain.MemberState `json:"state"`
+	Revision domain.Revision    `json:"revision"`
+	// Answered says that the host itself answered. Otherwise the revision is the
+	// last one that its peers know of.
+	Answered bool `json:"answered"`
+	// Unreadable lists table rows that keep their last good value.
+	Unreadable []string `json:"unreadable,omitempty"`
+
+	address string
+}
+
+// fleet asks hosts for the revision that they have in force.
+type fleet struct {
+	store storeFlags
+	hosts hostFlags
+}
+
+// errNoFleet means that no way to find the hosts was given.
+var errNoFleet = usage("name the hosts with --host, --host-list or --settings")
+
+// states returns the state of all hosts, sorted by zone and name.
+func (f *fleet) states(ctx context.Context) ([]hostState, error) {
+	states, err := f.known(ctx)
+	if err != nil {
+		return nil, err
+	}
+	group := new(errgroup.Group)
+	group.SetLimit(statusParallel)
+	for i := range states {
+		group.Go(func() error {
+			f.ask(ctx, &states[i])
+			return nil
+		})
+	}
+	_ = group.Wait()
+	sort.Slice(states, func(i, j int) bool {
+		if states[i].Zone != states[j].Zone {
+			return states[i].Zone < states[j].Zone
+		}
+		return states[i].Host < states[j].Host
+	})
+	return states, ctx.Err()
+}
+
+// known returns the hosts that a named host sees and those of the host list.
+func (f *fleet) known(ctx context.Context) ([]hostState, error) {
+	found := make(map[domain.HostID]hostState)
+	seenErr := f.seenByHosts(ctx, found)
+	listErr := f.listed(ctx, found)
+	if len(found) == 0 {
+		return nil, callerFault(errors.Join(seenErr, listErr))
+	}
+	states := make([]hostState, 0, len(found))
+	for _, s := range found {
+		states = append(states, s)
+	}
+	return states, nil
+}
+
+// seenByHosts adds the members that the named hosts see.
+func (f *fleet) seenByHosts(ctx context.Context, found map[domain.HostID]hostState) error {
+	if len(f.hosts.hosts) == 0 {
+		return nil
+	}
+	client, err := f.hosts.client()
+	if err != nil {
+		return err
+	}
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	for _, m := range status.Members {
+		found[m.ID] = hostState{Host: m.ID, Zone: m.Zone, State: m.State, Revision: m.Revision, address: m.CallerAddress}
+	}
+	return nil
+}
+
+// listed adds the entry hosts of the platform's host list.
+func (f *fleet) listed(ctx context.Context, found map[domain.HostID]hostState) error {
+	client, hasHosts, err := f.store.client()
+	if err != nil || !hasHosts {
+		if len(f.hosts.hosts) > 0 {
+			return nil
+		}
+		return errNoFleet
+	}
+	listed, err := client.Hosts().Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	for _, h := range listed {
+		id := domain.HostID(h.Name)
+		if _, there := found[id]; there || h.CallerAddress == "" {
+			continue
+		}
+		state := domain.MemberAlive
+		if h.Leaving {
+			state = domain.MemberLeaving
+		}
+		found[id] = hostState{Host: id, Zone: h.Zone, State: state, address: h.CallerAddress}
+	}
+	return nil
+}
+
+// ask fills in what a host says about itself.
+func (f *fleet) ask(ctx context.Context, s *hostState) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	hosts := f.hosts
+	hosts.hosts = []string{f.hosts.beside(s.address)}
+	client, err := hosts.client()
+	if err != nil {
+		return
+	}
+	status, err := client.Status(ctx)
+	var unreachable *gateclient.UnreachableError
+	if errors.As(err, &unreachable) && s.State == domain.MemberAlive {
+		s.State = domain.MemberSuspect
+	}
+	if err != nil {
+		return
+	}
+	s.Answered = true
+	s.Revision = status.Revision
+	s.Unreadable = status.Unreadable
+	s.State = domain.MemberAlive
+	if status.Leaving {
+		s.State = domain.MemberLeaving
+	}
+}
--- a/adapters/cli/standin_platform.go
+++ b/adapters/cli/standin_platform.go
@@ -12,8 +12,8 @@
 	"greengagespoke/standin/platform"
 )
 
-// platformFlags are the flags of the platform's stand-in.
-type platformFlags struct {
+// standinPlatformFlags are the flags of the platform's stand-in.
+type standinPlatformFlags struct {
 	listen       string
 	writesPerSec int
 	readsPerSec  int
@@ -23,7 +23,7 @@
 }
 
 func standinPlatformCommand() *command {
-	flags := &platformFlags{listen: "127.0.0.1:7300"}
+	flags := &standinPlatformFlags{listen: "127.0.0.1:7300"}
 	return &command{
 		name:    "platform",
 		summary: "serve table service, object store and host list",
@@ -34,7 +34,7 @@
 	}
 }
 
-func (f *platformFlags) define(sc *flaggy.Subcommand) {
+func (f *standinPlatformFlags) define(sc *flaggy.Subcommand) {
 	sc.String(&f.listen, "", "listen", "IP:PORT to listen on; port 0 takes a free one")
 	sc.StringSlice(&f.hostSettings, "", "host-settings", "settings file of a host to list; repeatable")
 	sc.Int(&f.writesPerSec, "", "writes-per-second", "limit of writes a second; 0 for none")
@@ -43,7 +43,7 @@
 	sc.Duration(&f.hostListLag, "", "host-list-lag", "age of the answers of the host list, such as 3s")
 }
 
-func (f *platformFlags) run(ctx context.Context, streams Streams) error {
+func (f *standinPlatformFlags) run(ctx context.Context, streams Streams) error {
 	p := platform.New(platform.Config{
 		WritesPerSecond: f.writesPerSec,
 		ReadsPerSecond:  f.readsPerSec,
--- /dev/null
+++ b/adapters/cli/store_flags.go
@@ -0,0 +1,136 @@
+package cli
+
+import (
+	"errors"
+	"os"
+
+	"github.com/integrii/flaggy"
+
+	"greengagespoke/adapters/platformhttp"
+	"greengagespoke/adapters/settings"
+	"greengagespoke/adapters/strictyaml"
+	"greengagespoke/domain"
+	"greengagespoke/tables"
+)
+
+// storeFlags say where the platform is.
+type storeFlags struct {
+	settingsFile string
+	platform     string
+	hostList     string
+	tokenFile    string
+}
+
+const storeFlagsHelp = `The platform's services are those of a settings file, or the given URLs.`
+
+func (f *storeFlags) define(sc *flaggy.Subcommand) {
+	sc.String(&f.settingsFile, "", "settings", "settings file of any host, for the platform's services")
+	sc.String(&f.platform, "", "platform", "URL of the table service, such as http://10.0.0.9:7300")
+	sc.String(&f.hostList, "", "host-list", "URL of the host list, such as http://10.0.0.9:7300/hosts")
+	sc.String(&f.tokenFile, "", "platform-token-file", "file with the token for the platform")
+}
+
+// config returns the platform's services and whether the host list is known.
+func (f *storeFlags) config() (cfg platformhttp.Config, hasHosts bool, err error) {
+	if f.settingsFile != "" {
+		s, err := settings.Load(f.settingsFile)
+		if err != nil {
+			return cfg, false, err
+		}
+		cfg = PlatformConfig(s)
+		hasHosts = true
+	}
+	if f.platform != "" {
+		cfg.TablesURL, cfg.ObjectsURL, cfg.Bucket = f.platform, f.platform, settings.Default().Platform.Bucket
+	}
+	if f.hostList != "" {
+		cfg.HostsURL = f.hostList
+		hasHosts = true
+	}
+	if f.tokenFile != "" {
+		token, err := strictyaml.ReadFile(f.tokenFile)
+		if err != nil {
+			return cfg, false, err
+		}
+		cfg.Token = oneLine(string(token))
+	}
+	if cfg.TablesURL == "" {
+		return cfg, false, usage("--settings or --platform is missing; say where the table service is")
+	}
+	if cfg.HostsURL == "" {
+		cfg.HostsURL = cfg.TablesURL
+	}
+	return cfg, hasHosts, nil
+}
+
+// PlatformConfig returns the platform's services as a settings file names them.
+func PlatformConfig(s *settings.Settings) platformhttp.Config {
+	return platformhttp.Config{
+		TablesURL:  s.Platform.Tables,
+		ObjectsURL: s.Platform.Objects,
+		Bucket:     s.Platform.Bucket,
+		HostsURL:   s.Platform.HostList,
+		Token:      string(s.Platform.Token),
+		Timeout:    s.Platform.Timeout.D(),
+	}
+}
+
+// client returns a client of the platform.
+func (f *storeFlags) client() (client *platformhttp.Client, hasHosts bool, err error) {
+	cfg, hasHosts, err := f.config()
+	if err != nil {
+		return nil, false, err
+	}
+	client, err = platformhttp.New(cfg)
+	var bad *platformhttp.ConfigError
+	if errors.As(err, &bad) {
+		return nil, false, usage("%w", err)
+	}
+	return client, hasHosts, err
+}
+
+// editor returns an editor of the two tables.
+func (f *storeFlags) editor() (*tables.Editor, error) {
+	client, _, err := f.client()
+	if err != nil {
+		return nil, err
+	}
+	return tables.NewEditor(tables.EditorConfig{Store: client.Tables()}), nil
+}
+
+// editorVariable is the environment variable that names the operator.
+const editorVariable = "USER"
+
+// editFlags say who makes a change and under which identifier.
+type editFlags struct {
+	editor string
+	editID string
+	dryRun bool
+}
+
+const editFlagsHelp = `Repeat a command whose outcome is unknown with the same --edit-id: a change that
+was accepted is found and not made again.`
+
+func (f *editFlags) define(sc *flaggy.Subcommand) {
+	f.editor = os.Getenv(editorVariable)
+	sc.String(&f.editor, "", "editor", "who makes the change, for the audit trail")
+	sc.String(&f.editID, "", "edit-id", "name of the change (default: a random one)")
+	sc.Bool(&f.dryRun, "", "dry-run", "print the changes and make none")
+}
+
+func (f *editFlags) check() error {
+	if f.editor == "" {
+		return usage("--editor is missing; say who makes the change")
+	}
+	return nil
+}
+
+// checkTable returns a fault where a text is not the name of a table.
+func checkTable(name string) error {
+	switch domain.TableName(name) {
+	case domain.TableRoutes, domain.TablePools:
+		return nil
+	default:
+		return usage("%q is not a table; write routes or pools", name)
+	}
+}
--- /dev/null
+++ b/adapters/cli/tables.go
@@ -0,0 +1,16 @@
+package cli
+
+// tablesCommand reads and edits the two tables.
+func tablesCommand() *command {
+	return &command{
+		name:    "tables",
+		summary: "read and edit the routes and pools tables",
+		children: []*command{
+			tablesGetCommand(),
+			tablesApplyCommand(),
+			tablesEditCommand(),
+			tablesHistoryCommand(),
+			tablesStatusCommand(),
+		},
+	}
+}
--- a/adapters/tablefile/file.go
+++ b/adapters/tablefile/file.go
@@ -1,10 +1,12 @@
 package tablefile
 
 import (
+	"errors"
 	"fmt"
 
 	"greengagespoke/adapters/strictyaml"
 	"greengagespoke/domain"
+	"greengagespoke/tables"
 )
 
 // Error is a fault in a table file.
@@ -56,6 +58,9 @@
 			return fault
 		}
 		seenRoutes[route.Name] = true
+		if fault := invalid(doc, at, tables.ValidateRoute(route)); fault != nil {
+			return fault
+		}
 	}
 	seenPools := make(map[domain.PoolName]bool)
 	for i, pool := range f.Pools {
@@ -64,6 +69,18 @@
 			return fault
 		}
 		seenPools[pool.Name] = true
+		if fault := invalid(doc, at, tables.ValidatePool(pool)); fault != nil {
+			return fault
+		}
+	}
+	return nil
+}
+
+// invalid turns the error about a row's value into one with its line.
+func invalid(doc *strictyaml.Document, at string, err error) *Error {
+	var row *tables.InvalidRowError
+	if errors.As(err, &row) {
+		return doc.ErrorAt(at+"."+row.Field, row.Message, row.Remedy)
 	}
 	return nil
 }
