--- a/adapters/cli/change_set.go
+++ b/adapters/cli/change_set.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"fmt"
+	"io"
 
 	"greengagespoke/adapters/tablefile"
 	"greengagespoke/domain"
@@ -30,18 +32,22 @@
 	}
 	for _, c := range changes {
 		if err := s.checkRead(ctx, c); err != nil {
-			return 0, err
+			return 0, s.explain(err)
 		}
 	}
 	if s.flags.dryRun {
 		s.printDryRun(snapshot, changes)
-		return snapshot.Revision, nil
+		return snapshot.Revision, dryRun(ctx, snapshot, changes)
 	}
+	return s.apply(ctx, snapshot.Revision, changes)
+}
+
+// apply makes the changes one by one, starting at a revision.
+func (s *changeSet) apply(ctx context.Context, revision domain.Revision, changes []tablefile.RowChange) (domain.Revision, error) {
 	id := s.flags.editID
 	if id == "" {
 		id = rand.Text()
 	}
-	revision := snapshot.Revision
 	for i, c := range changes {
 		accepted, err := s.editor.Apply(ctx, domain.Edit{
 			ID:          fmt.Sprintf("%s.%s.%s", id, c.Table, c.Row),
@@ -52,7 +58,7 @@
 			Editor:      s.flags.editor,
 		})
 		if err != nil {
-			return revision, s.stopped(i, len(changes), id, err)
+			return revision, s.stopped(i, len(changes), id, s.explain(err))
 		}
 		revision = accepted.Revision
 		printChange(s.streams, c)
@@ -78,6 +84,16 @@
 	}
 }
 
+// explain prints both values of a conflict and returns the error.
+func (s *changeSet) explain(err error) error {
+	var conflict *tables.ConflictError
+	if errors.As(err, &conflict) {
+		printf(s.streams.Err, "%s/%s: - in force, + wanted\n", conflict.Table, conflict.Row)
+		printFields(s.streams.Err, tablefile.DiffJSON(conflict.Found, conflict.Wanted))
+	}
+	return err
+}
+
 // stopped adds to an error how far the list was done.
 func (s *changeSet) stopped(done, all int, id string, err error) error {
 	if all == 1 {
@@ -103,12 +119,16 @@
 		verb = "remove"
 	}
 	printf(streams.Out, "%s %s/%s\n", verb, c.Table, c.Row)
-	for _, f := range c.Fields {
+	printFields(streams.Out, c.Fields)
+}
+
+func printFields(w io.Writer, fields []tablefile.FieldChange) {
+	for _, f := range fields {
 		if f.Before != "" {
-			printf(streams.Out, "  - %s: %s\n", f.Path, f.Before)
+			printf(w, "  - %s: %s\n", f.Path, f.Before)
 		}
 		if f.After != "" {
-			printf(streams.Out, "  + %s: %s\n", f.Path, f.After)
+			printf(w, "  + %s: %s\n", f.Path, f.After)
 		}
 	}
 }
--- /dev/null
+++ b/adapters/cli/dry_run.go
@@ -0,0 +1,73 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sort"
+
+	"greengagespoke/adapters/tablefile"
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+	"greengagespoke/standin/platform"
+	"greengagespoke/tables"
+)
+
+// dryRun makes changes on a copy of the tables in memory, so that they meet the
+// same checks as they would in the table service.
+func dryRun(ctx context.Context, snapshot ports.TableSnapshot, changes []tablefile.RowChange) error {
+	scratch := newScratch()
+	for _, row := range poolsFirst(snapshot.Rows) {
+		// A row that this version does not accept stays out of the copy.
+		var invalid *tables.InvalidRowError
+		if err := scratch.apply(ctx, row.Table, row.Row, row.Value); err != nil && !errors.As(err, &invalid) {
+			return err
+		}
+	}
+	for _, c := range changes {
+		if err := scratch.apply(ctx, c.Table, c.Row, c.After); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// scratch is a copy of the tables in memory.
+type scratch struct {
+	editor *tables.Editor
+	// versions holds the version of each row by "table.row".
+	versions map[string]domain.Revision
+	edits    int
+}
+
+func newScratch() *scratch {
+	return &scratch{
+		editor:   tables.NewEditor(tables.EditorConfig{Store: platform.New(platform.Config{}).Tables()}),
+		versions: make(map[string]domain.Revision),
+	}
+}
+
+func (s *scratch) apply(ctx context.Context, table domain.TableName, row string, value []byte) error {
+	s.edits++
+	key := string(table) + "." + row
+	accepted, err := s.editor.Apply(ctx, domain.Edit{
+		ID:          fmt.Sprintf("dry-run.%d", s.edits),
+		Table:       table,
+		Row:         row,
+		BaseVersion: s.versions[key],
+		Value:       value,
+		Editor:      "dry-run",
+	})
+	if err == nil {
+		s.versions[key] = accepted.Revision
+	}
+	return err
+}
+
+func poolsFirst(rows []domain.VersionedRow) []domain.VersionedRow {
+	sorted := append([]domain.VersionedRow(nil), rows...)
+	sort.SliceStable(sorted, func(i, j int) bool {
+		return sorted[i].Table == domain.TablePools && sorted[j].Table != domain.TablePools
+	})
+	return sorted
+}
--- a/adapters/cli/store_flags.go
+++ b/adapters/cli/store_flags.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"errors"
 	"os"
 
 	"github.com/integrii/flaggy"
@@ -54,6 +53,11 @@
 		}
 		cfg.Token = oneLine(string(token))
 	}
+	for flag, value := range map[string]string{"--platform": f.platform, "--host-list": f.hostList} {
+		if value != "" && !settings.IsServiceURL(value) {
+			return cfg, false, usage("%s: %q is not a URL with an IP number and a port, such as http://10.0.0.9:7300", flag, value)
+		}
+	}
 	if cfg.TablesURL == "" {
 		return cfg, false, usage("--settings or --platform is missing; say where the table service is")
 	}
@@ -82,10 +86,6 @@
 		return nil, false, err
 	}
 	client, err = platformhttp.New(cfg)
-	var bad *platformhttp.ConfigError
-	if errors.As(err, &bad) {
-		return nil, false, usage("%w", err)
-	}
 	return client, hasHosts, err
 }
 
--- a/adapters/settings/check_addresses.go
+++ b/adapters/settings/check_addresses.go
@@ -58,12 +58,12 @@
 // url records a fault where a text is not a URL of a service.
 func (c *checker) url(key, text string) {
 	c.present(text, key, urlRemedy)
-	c.require(isServiceURL(text), key, fmt.Sprintf("%q is not the URL of a service", text), urlRemedy)
+	c.require(IsServiceURL(text), key, fmt.Sprintf("%q is not the URL of a service", text), urlRemedy)
 }
 
-// isServiceURL reports whether a text is an http or https URL with an IP number
+// IsServiceURL reports whether a text is an http or https URL with an IP number
 // and a port.
-func isServiceURL(text string) bool {
+func IsServiceURL(text string) bool {
 	u, err := url.Parse(text)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
 		return false
