--- a/cmd/greengagespoke/script_test.go
+++ b/cmd/greengagespoke/script_test.go
@@ -70,6 +70,8 @@
 		listeners = append(listeners, l)
 		env.Setenv(fmt.Sprintf("ADDR%d", i+1), l.Addr().String())
 	}
+	// Under the race detector a process sleeps for a second at its end by default.
+	env.Setenv("GORACE", "atexit_sleep_ms=0")
 	return nil
 }
 
