--- /dev/null
+++ b/replay/faults.go
@@ -0,0 +1,70 @@
+package replay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"greengagespoke/standin/engine"
+)
+
+// injectFaults makes the trace's faults happen until ctx ends.
+func (r *run) injectFaults(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, f := range r.env.Trace.Faults {
+		group.Go(func() { r.repeat(ctx, f) })
+	}
+	group.Wait()
+}
+
+func (r *run) repeat(ctx context.Context, f Fault) {
+	at := f.At.D()
+	for at < r.env.Trace.Duration.D() {
+		if !pause(ctx, time.Until(r.env.Start.Add(at))) {
+			return
+		}
+		r.inject(ctx, f)
+		if f.Every <= 0 {
+			return
+		}
+		at += f.Every.D()
+	}
+}
+
+// inject makes one fault happen and ends it after its time.
+func (r *run) inject(ctx context.Context, f Fault) {
+	switch f.Kind {
+	case FaultStall:
+		now := time.Now()
+		r.env.Fabric.AddStall(engine.Stall{Source: f.Source, Target: f.Target, From: now, Until: now.Add(f.For.D())})
+		return
+	case FaultKillHost:
+		r.killHost(ctx, f.Host)
+		return
+	case FaultCut:
+		r.env.Network.SetCut(f.Zones[0], f.Zones[1], true)
+		pause(ctx, f.For.D())
+		r.env.Network.SetCut(f.Zones[0], f.Zones[1], false)
+		return
+	}
+	e, ok := r.env.Fabric.Engine(f.Upstream)
+	if !ok {
+		return
+	}
+	switch f.Kind {
+	case FaultCrash:
+		e.Crash()
+	case FaultKill:
+		e.Kill()
+		pause(ctx, f.For.D())
+		e.Restart()
+	case FaultPause:
+		e.Pause()
+		pause(ctx, f.For.D())
+		e.Resume()
+	case FaultSlow:
+		e.SetSlow(f.Factor)
+		pause(ctx, f.For.D())
+		e.SetSlow(1)
+	}
+}
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"greengagespoke/domain"
 	"greengagespoke/ports"
 )
 
@@ -119,6 +120,23 @@
 	return e.held()
 }
 
+// Holds says whether the engine holds memory for a request now.
+func (e *Engine) Holds(key domain.RequestKey) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, a := range e.attempts {
+		if !a.ended && id.Key() == key {
+			return true
+		}
+	}
+	for _, r := range e.results {
+		if r.kv.id.Key() == key {
+			return true
+		}
+	}
+	return false
+}
+
 // HeldPieces returns the pieces and slots of decodes in use now.
 func (e *Engine) HeldPieces() (pieces, slots int) {
 	e.mu.Lock()
