--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -143,16 +143,16 @@
 	for i, d := range g.decode {
 		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
 	}
-	req := placementRequest(&w.req)
+	req := g.placementRequest(&w.req)
 	if w.req.Suspect {
 		req.Avoid = g.avoidCrashed(&w.req)
 	}
 	return g.scheduler.Decide(&g.snap, req, &g.decision)
 }
 
-func placementRequest(req *domain.PlaceRequest) *placement.Request {
+func (g *group) placementRequest(req *domain.PlaceRequest) *placement.Request {
 	return &placement.Request{
-		Zone:         req.HolderZone,
+		Zone:         g.snap.Zone(req.HolderZone),
 		PromptTokens: req.PromptTokens,
 		Pieces:       req.Pieces(),
 		Keys:         req.PieceKeys,
--- a/keeper/group.go
+++ b/keeper/group.go
@@ -148,7 +148,7 @@
 		p = &prefillState{position: slices.Index(g.prefillAt[:], nil)}
 		g.prefillAt[p.position] = p
 	}
-	p.up = up
+	p.up, p.zone = up, g.snap.Zone(up.Zone)
 	g.prefill = append(g.prefill, p)
 }
 
@@ -158,7 +158,7 @@
 		d = &decodeState{}
 		g.byDecode[up.ID] = d
 	}
-	d.up = up
+	d.up, d.zone = up, g.snap.Zone(up.Zone)
 	g.decode = append(g.decode, d)
 }
 
--- a/keeper/upstream.go
+++ b/keeper/upstream.go
@@ -26,6 +26,8 @@
 // upstreamState is what the keeper knows of an upstream in any role.
 type upstreamState struct {
 	up domain.Upstream
+	// zone is the index of its availability zone in the snapshot.
+	zone int
 	// listed says that the engine answered a listing since the group is kept
 	// here; before that nothing is known of its use.
 	listed bool
@@ -142,7 +144,7 @@
 func (d *decodeState) snapshot(now time.Time) placement.Decode {
 	return placement.Decode{
 		ID:         d.up.ID,
-		Zone:       d.up.Zone,
+		Zone:       d.zone,
 		Slots:      d.up.Slots,
 		FreeSlots:  d.freeSlots(),
 		Pieces:     d.up.Pieces,
@@ -178,7 +180,7 @@
 func (p *prefillState) snapshot(now time.Time) placement.Prefill {
 	return placement.Prefill{
 		ID:        p.up.ID,
-		Zone:      p.up.Zone,
+		Zone:      p.zone,
 		Position:  p.position,
 		Rate:      float64(p.up.PrefillRate),
 		Queue:     max(0, p.busyUntil.Sub(now)),
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -12,8 +12,8 @@
 
 // zoneBest is the best candidate of each role in one availability zone.
 type zoneBest struct {
-	zone            domain.Zone
-	prefill, decode int
+	prefill, decode         int
+	prefillCost, decodeCost time.Duration
 }
 
 // pick compares the best prefill and decode upstreams of each pair of zones, so
@@ -46,45 +46,30 @@
 // collect finds the best candidates of each zone.
 func (d *Decision) collect(s *Snapshot, r *Request) {
 	for i := range s.Prefill {
-		if d.Prefill[i].Rejected {
+		c := &d.Prefill[i]
+		if c.Rejected {
 			continue
 		}
-		z := d.zone(s.Prefill[i].Zone)
-		if z.prefill < 0 || d.prefillCost(s, r, i) < d.prefillCost(s, r, z.prefill) {
-			z.prefill = i
+		up := &s.Prefill[i]
+		z := &d.zones[up.Zone]
+		cost := c.Delay + c.Penalty + up.LinkQueue + transferTime(r.PromptTokens, up.LinkRate)
+		if z.prefill < 0 || cost < z.prefillCost {
+			z.prefill, z.prefillCost = i, cost
 		}
 	}
 	for i := range s.Decode {
-		if d.Decode[i].Rejected {
+		c := &d.Decode[i]
+		if c.Rejected {
 			continue
 		}
-		z := d.zone(s.Decode[i].Zone)
-		if z.decode < 0 || d.decodeCost(i) < d.decodeCost(z.decode) {
-			z.decode = i
+		z := &d.zones[s.Decode[i].Zone]
+		cost := c.FreeIn + c.Penalty
+		if z.decode < 0 || cost < z.decodeCost {
+			z.decode, z.decodeCost = i, cost
 		}
 	}
 }
 
-func (d *Decision) zone(zone domain.Zone) *zoneBest {
-	for i := range d.zones {
-		if d.zones[i].zone == zone {
-			return &d.zones[i]
-		}
-	}
-	d.zones = append(d.zones, zoneBest{zone: zone, prefill: -1, decode: -1})
-	return &d.zones[len(d.zones)-1]
-}
-
-func (d *Decision) prefillCost(s *Snapshot, r *Request, i int) time.Duration {
-	c := &d.Prefill[i]
-	return c.Delay + c.Penalty + s.Prefill[i].LinkQueue + transferTime(r.PromptTokens, s.Prefill[i].LinkRate)
-}
-
-func (d *Decision) decodeCost(i int) time.Duration {
-	c := &d.Decode[i]
-	return c.FreeIn + c.Penalty
-}
-
 // pair predicts the course of a request on two upstreams.
 func (d *Decision) pair(s *Snapshot, r *Request, prefill, decode int) (Pair, time.Duration) {
 	from, to := &s.Prefill[prefill], &s.Decode[decode]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -13,8 +13,9 @@
 
 // Prefill is the state of one prefill upstream.
 type Prefill struct {
-	ID   domain.UpstreamID
-	Zone domain.Zone
+	ID domain.UpstreamID
+	// Zone is the index of the availability zone in the snapshot.
+	Zone int
 	// Position names the upstream in the prefix index.
 	Position int
 	// Rate is in prompt tokens per second.
@@ -33,8 +34,9 @@
 
 // Decode is the state of one decode upstream.
 type Decode struct {
-	ID   domain.UpstreamID
-	Zone domain.Zone
+	ID domain.UpstreamID
+	// Zone is the index of the availability zone in the snapshot.
+	Zone int
 	// Slots and Pieces are its size, FreeSlots and FreePieces what is not
 	// granted. Free values are negative where more is in use than there is.
 	Slots, FreeSlots   int
@@ -59,15 +61,30 @@
 // Snapshot is the state of a group at one moment. It is not changed during a
 // decision.
 type Snapshot struct {
+	// Zones are the availability zones of the group. Upstreams and requests name
+	// them by index.
+	Zones   []domain.Zone
 	Prefill []Prefill
 	Decode  []Decode
 	// CrossZone is the one-way delay between availability zones.
 	CrossZone time.Duration
 }
 
+// Zone returns the index of an availability zone and adds it where needed.
+func (s *Snapshot) Zone(zone domain.Zone) int {
+	for i, known := range s.Zones {
+		if known == zone {
+			return i
+		}
+	}
+	s.Zones = append(s.Zones, zone)
+	return len(s.Zones) - 1
+}
+
 // Request is what a decision needs to know of a request.
 type Request struct {
-	Zone         domain.Zone
+	// Zone is the index of the holder's availability zone in the snapshot.
+	Zone         int
 	PromptTokens int
 	Pieces       int
 	Keys         []domain.PieceKey
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -32,17 +32,20 @@
 // Decide chooses a pair for the request. It returns false where no decode place
 // is free or promised in time, or where no prefill upstream is usable.
 func (s *Scheduler) Decide(snap *Snapshot, r *Request, d *Decision) (Pair, bool) {
-	d.reset(len(snap.Prefill), len(snap.Decode))
+	d.reset(snap)
 	for _, step := range s.steps {
 		step.Run(snap, r, d)
 	}
 	return pick(snap, r, d)
 }
 
-func (d *Decision) reset(prefills, decodes int) {
-	d.Prefill = cleared(d.Prefill, prefills)
-	d.Decode = cleared(d.Decode, decodes)
+func (d *Decision) reset(snap *Snapshot) {
+	d.Prefill = cleared(d.Prefill, len(snap.Prefill))
+	d.Decode = cleared(d.Decode, len(snap.Decode))
 	d.zones = d.zones[:0]
+	for range snap.Zones {
+		d.zones = append(d.zones, zoneBest{prefill: -1, decode: -1})
+	}
 }
 
 func cleared(c []Candidate, n int) []Candidate {
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -13,12 +13,12 @@
 	s := &Snapshot{CrossZone: 5 * time.Millisecond}
 	for i := range prefills {
 		s.Prefill = append(s.Prefill, Prefill{
-			ID: domain.UpstreamID(fmt.Sprintf("p%d", i)), Zone: zone(i), Position: i, Rate: 20_000, LinkRate: 12e9,
+			ID: domain.UpstreamID(fmt.Sprintf("p%d", i)), Zone: s.Zone(zone(i)), Position: i, Rate: 20_000, LinkRate: 12e9,
 		})
 	}
 	for i := range decodes {
 		s.Decode = append(s.Decode, Decode{
-			ID: domain.UpstreamID(fmt.Sprintf("d%d", i)), Zone: zone(i),
+			ID: domain.UpstreamID(fmt.Sprintf("d%d", i)), Zone: s.Zone(zone(i)),
 			Slots: 20, FreeSlots: 20, Pieces: 200, FreePieces: 200, LinkRate: 12e9,
 		})
 	}
@@ -33,7 +33,7 @@
 }
 
 func TestPairLiesInTheZoneOfTheHolder(t *testing.T) {
-	r := &Request{Zone: "dakar-1", PromptTokens: 2000, Pieces: 3}
+	r := &Request{Zone: 1, PromptTokens: 2000, Pieces: 3}
 	pair, ok := decide(t, fleet(3, 3), r, nil)
 	if !ok || pair.Prefill != 1 || pair.Decode != 1 {
 		t.Errorf("chose %+v, %v; want both in zone 1", pair, ok)
@@ -43,7 +43,7 @@
 func TestLocalZoneIsLeftWhereItIsSlower(t *testing.T) {
 	s := fleet(3, 3)
 	s.Prefill[1].Queue = time.Second
-	r := &Request{Zone: "dakar-1", PromptTokens: 2000, Pieces: 3}
+	r := &Request{Zone: 1, PromptTokens: 2000, Pieces: 3}
 	pair, ok := decide(t, s, r, nil)
 	if !ok || pair.Prefill == 1 {
 		t.Errorf("chose the busy prefill upstream: %+v, %v", pair, ok)
@@ -51,7 +51,7 @@
 }
 
 func TestFiltersRejectUpstreams(t *testing.T) {
-	r := &Request{Zone: "dakar-0", PromptTokens: 1000, Pieces: 2, Avoid: []domain.UpstreamID{"d0"}, Suspect: true}
+	r := &Request{Zone: 0, PromptTokens: 1000, Pieces: 2, Avoid: []domain.UpstreamID{"d0"}, Suspect: true}
 	s := fleet(1, 5)
 	s.Decode[1].Unusable = true
 	s.Decode[2].Suspects = 1
@@ -74,7 +74,7 @@
 	index := NewPrefixIndex(3, 100)
 	keys := []domain.PieceKey{1, 2, 3, 4}
 	index.Apply(2, stored(1, keys...))
-	r := &Request{Zone: "dakar-0", PromptTokens: 4500, Pieces: 6, Keys: keys}
+	r := &Request{Zone: 0, PromptTokens: 4500, Pieces: 6, Keys: keys}
 	pair, ok := decide(t, fleet(3, 3), r, index)
 	if !ok || pair.Prefill != 2 || pair.CachedTokens != 4096 {
 		t.Errorf("chose %+v, %v; want prefill upstream 2 with 4096 cached tokens", pair, ok)
