Check the keeper by random interleavings and mend what they showed

Change: a preferred upstream whose promised place comes too late no longer hides one with a free place; promises are bounded where memory is short, too; the queue is served after the head of a backlog leaves it; an entry that is not ready does not hold up later entries of its caller.

--- a/fairqueue/class.go
+++ b/fairqueue/class.go
@@ -104,19 +104,21 @@
 	}
 }
 
-// serve offers the heads of at most maxOffers flows in order of their start
-// tags and takes the first that try accepts.
-func (c *classQueue[T]) serve(try func(*Entry[T]) bool) *Entry[T] {
+// serve offers entries of the flows in order of their start tags, maxOffers in
+// all, and takes the first that try accepts.
+func (c *classQueue[T]) serve(try func(*Entry[T]) Verdict) *Entry[T] {
 	c.offered = c.offered[:0]
 	var taken *Entry[T]
-	for len(c.offered) < maxOffers {
+	for offers := 0; offers < maxOffers; {
 		f := c.active.min()
 		if f == nil {
 			break
 		}
-		if try(f.head) {
-			taken = f.head
-			c.take(f)
+		e, n := f.offer(try, maxOffers-offers)
+		offers += n
+		if e != nil {
+			taken = e
+			c.take(f, e)
 			break
 		}
 		c.active.remove(f)
@@ -132,9 +134,24 @@
 	return taken
 }
 
-// take removes the head of a flow and charges its cost to the flow.
-func (c *classQueue[T]) take(f *flow[T]) {
-	e := f.head
+// offer offers the first entry of the flow that is ready, and returns it if it
+// was accepted, with the number of offers.
+func (f *flow[T]) offer(try func(*Entry[T]) Verdict, limit int) (*Entry[T], int) {
+	n := 0
+	for e := f.head; e != nil && n < limit; e = e.next {
+		n++
+		switch try(e) {
+		case Accept:
+			return e, n
+		case NoRoom:
+			return nil, n
+		}
+	}
+	return nil, n
+}
+
+// take removes an entry and charges its cost to its flow.
+func (c *classQueue[T]) take(f *flow[T], e *Entry[T]) {
 	f.finish = e.start() + e.Cost/e.weight()
 	c.maxFinish = max(c.maxFinish, f.finish)
 	c.virtual += e.Cost / c.weight
--- a/fairqueue/flow.go
+++ b/fairqueue/flow.go
@@ -31,6 +31,9 @@
 // Waiting returns whether the entry is in a queue.
 func (e *Entry[T]) Waiting() bool { return e.flow != nil }
 
+// Previous returns the entry before this one in the backlog of its caller, or nil.
+func (e *Entry[T]) Previous() *Entry[T] { return e.prev }
+
 // start returns the start tag of the entry at the head of its flow.
 func (e *Entry[T]) start() float64 { return max(e.arrival, e.flow.finish) }
 
--- a/fairqueue/queue.go
+++ b/fairqueue/queue.go
@@ -24,6 +24,21 @@
 	DefaultPatientShare = 0.15
 )
 
+// Verdict is the answer to the offer of an entry.
+type Verdict int
+
+// The answers to an offer.
+const (
+	// Accept takes the entry out of the queue.
+	Accept Verdict = iota
+	// NoRoom leaves the entry where it is, and with it the later entries of its
+	// caller; the next caller is offered.
+	NoRoom
+	// NotReady leaves the entry where it is; the next entry of its caller is
+	// offered.
+	NotReady
+)
+
 // Queue holds the waiting entries of both classes. It is not safe for
 // concurrent use.
 type Queue[T any] struct {
@@ -73,7 +88,7 @@
 // Serve offers entries in fair order until try accepts one. The accepted entry
 // is removed, charged to its caller and returned; nil means that no offered
 // entry was accepted.
-func (q *Queue[T]) Serve(try func(*Entry[T]) bool) *Entry[T] {
+func (q *Queue[T]) Serve(try func(*Entry[T]) Verdict) *Entry[T] {
 	if q.patientDue() {
 		if e := q.patient.serve(try); e != nil {
 			q.credit = max(0, q.credit-e.Cost)
@@ -96,7 +111,7 @@
 	q.class(class).charge(caller, cost)
 }
 
-func (q *Queue[T]) serveInteractive(try func(*Entry[T]) bool) *Entry[T] {
+func (q *Queue[T]) serveInteractive(try func(*Entry[T]) Verdict) *Entry[T] {
 	e := q.interactive.serve(try)
 	if e == nil {
 		return nil
--- a/fairqueue/queue_test.go
+++ b/fairqueue/queue_test.go
@@ -7,7 +7,7 @@
 	"greengagespoke/domain"
 )
 
-func any1(*Entry[int]) bool { return true }
+func any1(*Entry[int]) Verdict { return Accept }
 
 func push(q *Queue[int], caller domain.CallerID, class domain.Class, weight, cost float64) *Entry[int] {
 	e := &Entry[int]{Caller: caller, Class: class, Weight: weight, Cost: cost}
@@ -58,7 +58,12 @@
 	for range 5 {
 		push(q, "b", domain.ClassInteractive, 1, 1)
 	}
-	small := func(e *Entry[int]) bool { return e.Cost < 10 }
+	small := func(e *Entry[int]) Verdict {
+		if e.Cost < 10 {
+			return Accept
+		}
+		return NoRoom
+	}
 	for range 5 {
 		if e := q.Serve(small); e == nil || e.Caller != "b" {
 			t.Fatalf("served %+v while the large entry does not fit", e)
@@ -72,6 +77,24 @@
 	}
 }
 
+// TestEntryThatIsNotReadyHoldsNobodyUp checks that the other entries of the same
+// caller are served meanwhile, in order, and the entry keeps its place.
+func TestEntryThatIsNotReadyHoldsNobodyUp(t *testing.T) {
+	q := New[int](DefaultPatientShare)
+	first := push(q, "a", domain.ClassInteractive, 1, 1)
+	second := push(q, "a", domain.ClassInteractive, 1, 1)
+	third := push(q, "a", domain.ClassInteractive, 1, 1)
+	ready := func(e *Entry[int]) Verdict {
+		if e == first {
+			return NotReady
+		}
+		return Accept
+	}
+	if q.Serve(ready) != second || q.Serve(any1) != first || q.Serve(any1) != third {
+		t.Error("entries were served out of order")
+	}
+}
+
 func TestIdleCallersAreForgotten(t *testing.T) {
 	q := New[int](DefaultPatientShare)
 	for i := range 45_000 {
--- a/keeper/acquire.go
+++ b/keeper/acquire.go
@@ -19,14 +19,26 @@
 	if promised != nil {
 		return g.awaitPlace(ctx, promised), nil
 	}
-	timer := time.NewTimer(g.patience(w))
+	end := time.Now().Add(pollTime)
+	for g.await(ctx, w, end) {
+		continue
+	}
+	return g.leave(w)
+}
+
+// await waits for the outcome until the call ends or the first-token target may
+// be out of reach. It returns whether to go on waiting.
+func (g *group) await(ctx context.Context, w *waiter, end time.Time) bool {
+	timer := time.NewTimer(min(time.Until(end), g.patience(w)))
 	defer timer.Stop()
 	select {
 	case <-w.done:
+		return false
 	case <-ctx.Done():
+		return false
 	case <-timer.C:
+		return time.Until(end) > 0 && g.patience(w) > 0
 	}
-	return g.leave(w)
 }
 
 // join returns the waiter of the request, which may be done already, or the
@@ -212,8 +224,8 @@
 	return false
 }
 
-// patience returns how long a call waits: until the poll time is over or until
-// the first-token target is out of reach.
+// patience returns how long a request can wait until its first-token target is
+// out of reach, at most the poll time.
 func (g *group) patience(w *waiter) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -251,9 +263,11 @@
 	}
 	g.keeper.metrics.late.Add(1)
 	g.finish(w, domain.Grant{}, refuseLate(g.predictedWait(w)))
+	g.dispatch(now)
 }
 
-// finish gives a waiter its outcome.
+// finish gives a waiter its outcome. The next request of its caller may fit where
+// this one did not, so the queue is to be served after it.
 func (g *group) finish(w *waiter, grant domain.Grant, err error) {
 	if w.entry.Waiting() {
 		g.queue.Remove(&w.entry)
--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -25,9 +25,8 @@
 	}
 	g.snapshot(now)
 	for g.hasRoom() {
-		served := g.queue.Serve(func(e *fairqueue.Entry[*waiter]) bool { return g.try(e, now) })
-		g.finishRefused()
-		if served == nil {
+		served := g.queue.Serve(func(e *fairqueue.Entry[*waiter]) fairqueue.Verdict { return g.try(e, now) })
+		if !g.finishRefused() && served == nil {
 			break
 		}
 	}
@@ -59,15 +58,18 @@
 	refusal *domain.Refusal
 }
 
-// finishRefused refuses the requests that were found not to run. They leave the
-// queue only here, as it does not change while it serves.
-func (g *group) finishRefused() {
+// finishRefused refuses the requests that were found not to run and returns
+// whether there were any. They leave the queue only here, as it does not change
+// while it serves.
+func (g *group) finishRefused() bool {
+	found := len(g.refused) > 0
 	for _, r := range g.refused {
 		if r.waiter.entry.Waiting() {
 			g.finish(r.waiter, domain.Grant{}, r.refusal)
 		}
 	}
 	g.refused = g.refused[:0]
+	return found
 }
 
 // snapshot takes the state for placement decisions.
@@ -88,7 +90,7 @@
 // freeing returns the releases of a full decode upstream that may be promised.
 func (g *group) freeing(d *decodeState, now time.Time) []placement.Freeing {
 	policy := g.keeper.cfg.Policy
-	if !policy.LooksAhead() || d.freeSlots() > 0 {
+	if !policy.LooksAhead() || d.freeSlots() > 0 || len(d.promises) >= maxPromises {
 		return nil
 	}
 	g.ends = g.ends[:0]
@@ -112,30 +114,30 @@
 }
 
 // try grants a place to a waiting request where one fits.
-func (g *group) try(e *fairqueue.Entry[*waiter], now time.Time) bool {
+func (g *group) try(e *fairqueue.Entry[*waiter], now time.Time) fairqueue.Verdict {
 	w := e.Value
 	if w.calls == 0 || w.blockers > 0 {
-		return false
+		return fairqueue.NotReady
 	}
 	if refusal := g.refreshSuspicion(w); refusal != nil {
 		g.refused = append(g.refused, refused{w, refusal})
-		return false
+		return fairqueue.NotReady
 	}
 	if g.mustWait(w) {
-		return false
+		return fairqueue.NotReady
 	}
 	pair, ok := g.decide(w)
 	if !ok {
 		g.reserve(w)
-		return false
+		return fairqueue.NoRoom
 	}
 	if left, bounded := w.left(now); bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
 		g.refused = append(g.refused, refused{w, refuseLate(pair.FirstToken - left)})
-		return false
+		return fairqueue.NotReady
 	}
 	g.grant(w, pair, now)
-	return true
+	return fairqueue.Accept
 }
 
 // decide chooses the upstreams of a waiting request.
--- a/keeper/grants.go
+++ b/keeper/grants.go
@@ -27,6 +27,7 @@
 			lost = append(lost, wanted.ID)
 		}
 	}
+	g.dispatch(now)
 	return lost
 }
 
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -167,3 +167,24 @@
 		}
 	})
 }
+
+// TestQueueIsServedAfterItsHeadLeaves checks that a request behind one of the
+// same caller that did not fit is granted as soon as that one is refused.
+func TestQueueIsServedAfterItsHeadLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 1, 4, 8}, nil)
+		defer b.start(t, b.keeper)()
+		mustAcquire(t, b.keeper, pieces(place("b", "held", 1), 5))
+		refused := make(chan time.Time, 1)
+		go func() {
+			_, err := b.keeper.Acquire(t.Context(), testGroup, interactive(pieces(place("a", "large", 1), 7), 4*time.Second))
+			wantRefusal(t, err, domain.RefusalLate)
+			refused <- time.Now()
+		}()
+		synctest.Wait()
+		mustAcquire(t, b.keeper, interactive(pieces(place("a", "small", 1), 1), 9*time.Second))
+		if at := <-refused; !time.Now().Equal(at) {
+			t.Errorf("granted %v after the head of the backlog left", time.Since(at))
+		}
+	})
+}
--- /dev/null
+++ b/keeper/main_test.go
@@ -0,0 +1,19 @@
+package keeper
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed and the number of the generated tests, so that their
+// verdict is the same on every run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "4711", "rapid.checks": "150", "rapid.steps": "40", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/keeper/promise_test.go
+++ b/keeper/promise_test.go
@@ -105,3 +105,44 @@
 		t.Errorf("queue of %v, want 2 s reported 2 s ago and 1 s granted since", got)
 	}
 }
+
+// TestPromisesAreBoundedByPieces checks the bound where memory, not slots, holds
+// promised places up.
+func TestPromisesAreBoundedByPieces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{4, 1, 4, 8}, JustInTime{})
+		defer b.start(t, b.keeper)()
+		var held []domain.Grant
+		for i := range 4 {
+			held = append(held, mustAcquire(t, b.keeper, pieces(place("f", fmt.Sprint(i), 1), 2)))
+		}
+		g := b.keeper.held()[0]
+		for range 10 {
+			g.pace.interval.add(float64(5 * time.Millisecond))
+		}
+		ask := func(caller string, n int) {
+			req := pieces(place(domain.CallerID(caller), "1", 1), n)
+			req.PromptTokens, req.OutputTokens = 0, n*domain.PieceTokens
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			defer cancel()
+			_, _ = b.keeper.Acquire(ctx, testGroup, req)
+		}
+		for _, p := range g.prefill {
+			p.busyUntil = time.Now().Add(time.Second)
+		}
+		ask("large", 4)
+		release(t, b.keeper, held[0])
+		for i := range 4 {
+			ask(fmt.Sprint("small", i), 1)
+		}
+		if n := len(g.decode[0].promises); n == 0 || n > maxPromises {
+			t.Errorf("%d places promised, want 1 to %d", n, maxPromises)
+		}
+	})
+}
+
+// pieces gives a request the memory need of n pieces.
+func pieces(req domain.PlaceRequest, n int) domain.PlaceRequest {
+	req.PromptTokens = n*domain.PieceTokens - req.OutputTokens
+	return req
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -10,37 +10,48 @@
 // whose links are costly and lossy.
 const crossZonePenalty = 20 * time.Millisecond
 
-// zoneBest is the best candidate of each role in one availability zone.
+// best is the candidate with the least cost so far; an index of -1 means none.
+type best struct {
+	index int
+	cost  time.Duration
+}
+
+func (b *best) offer(index int, cost time.Duration) {
+	if b.index < 0 || cost < b.cost {
+		b.index, b.cost = index, cost
+	}
+}
+
+// zoneBest is the best candidates of one availability zone. Decode upstreams
+// with a free place and with a promised one are kept apart, as a promise may be
+// too late for the pair.
 type zoneBest struct {
-	prefill, decode         int
-	prefillCost, decodeCost time.Duration
+	prefill, free, promised best
 }
 
 // pick compares the best prefill and decode upstreams of each pair of zones, so
 // that its work is linear in the upstreams and quadratic only in the zones.
 func pick(s *Snapshot, r *Request, d *Decision) (Pair, bool) {
 	d.collect(s, r)
-	var best Pair
-	var bestCost time.Duration
-	found := false
-	for _, from := range d.zones {
-		if from.prefill < 0 {
-			continue
+	var chosen Pair
+	least := best{index: -1}
+	try := func(prefill, decode int) {
+		if prefill < 0 || decode < 0 {
+			return
+		}
+		pair, cost := d.pair(s, r, prefill, decode)
+		if pair.DecodeIn > pair.Ready || (least.index >= 0 && cost >= least.cost) {
+			return
 		}
+		chosen, least = pair, best{index: decode, cost: cost}
+	}
+	for _, from := range d.zones {
 		for _, to := range d.zones {
-			if to.decode < 0 {
-				continue
-			}
-			pair, cost := d.pair(s, r, from.prefill, to.decode)
-			if pair.DecodeIn > pair.Ready {
-				continue
-			}
-			if !found || cost < bestCost {
-				best, bestCost, found = pair, cost, true
-			}
+			try(from.prefill.index, to.free.index)
+			try(from.prefill.index, to.promised.index)
 		}
 	}
-	return best, found
+	return chosen, least.index >= 0
 }
 
 // collect finds the best candidates of each zone.
@@ -51,21 +62,19 @@
 			continue
 		}
 		up := &s.Prefill[i]
-		z := &d.zones[up.Zone]
 		cost := c.Delay + c.Penalty + up.LinkQueue + transferTime(r.PromptTokens, up.LinkRate)
-		if z.prefill < 0 || cost < z.prefillCost {
-			z.prefill, z.prefillCost = i, cost
-		}
+		d.zones[up.Zone].prefill.offer(i, cost)
 	}
 	for i := range s.Decode {
 		c := &d.Decode[i]
 		if c.Rejected {
 			continue
 		}
-		z := &d.zones[s.Decode[i].Zone]
-		cost := c.FreeIn + c.Penalty
-		if z.decode < 0 || cost < z.decodeCost {
-			z.decode, z.decodeCost = i, cost
+		zone := &d.zones[s.Decode[i].Zone]
+		if c.FreeIn == 0 {
+			zone.free.offer(i, c.Penalty)
+		} else {
+			zone.promised.offer(i, c.FreeIn+c.Penalty)
 		}
 	}
 }
--- a/placement/scheduler.go
+++ b/placement/scheduler.go
@@ -44,7 +44,7 @@
 	d.Decode = cleared(d.Decode, len(snap.Decode))
 	d.zones = d.zones[:0]
 	for range snap.Zones {
-		d.zones = append(d.zones, zoneBest{prefill: -1, decode: -1})
+		d.zones = append(d.zones, zoneBest{prefill: best{index: -1}, free: best{index: -1}, promised: best{index: -1}})
 	}
 }
 
--- a/placement/scheduler_test.go
+++ b/placement/scheduler_test.go
@@ -70,6 +70,21 @@
 	}
 }
 
+// TestFreePlaceIsUsedWhereAPromiseIsTooLate checks that a preferred upstream
+// whose place comes too late does not hide one that is free.
+func TestFreePlaceIsUsedWhereAPromiseIsTooLate(t *testing.T) {
+	s := fleet(1, 4)
+	for i := range s.Decode {
+		s.Decode[i].FreeSlots = 0
+	}
+	s.Decode[0].Freeing = []Freeing{{In: 20 * time.Millisecond, Pieces: 2}}
+	s.Decode[3].FreeSlots, s.Decode[3].Suspects = 1, 1
+	pair, ok := decide(t, s, &Request{Zone: 0, PromptTokens: 100, Pieces: 1}, nil)
+	if !ok || pair.Decode != 3 {
+		t.Errorf("chose %+v, %v; want the free place on upstream 3", pair, ok)
+	}
+}
+
 func TestCachedPrefixWinsOverDistance(t *testing.T) {
 	index := NewPrefixIndex(3, 100)
 	keys := []domain.PieceKey{1, 2, 3, 4}
