--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -16,7 +16,8 @@
 // decisions lists the packages that run without sockets under virtual time.
 var decisions = []string{
 	"domain", "ports", "counters", "groups", "routing", "placement", "keeper", "claims", "quarantine",
-	"tables", "storeguard", "membership", "orders", "entrypoints", "fairqueue", "retry",
+	"tables", "membership", "orders", "entrypoints", "fairqueue", "retry",
+	"hostwatch", "host", "leases", "storeguard",
 }
 
 // TestImportsPointInwards checks that decisions import neither adapters nor
