Bound the bytes that membership costs a host, and spread news at once

Cause: a table revision waited for the next probe of each host, hosts read the whole host list every 5 s at any size, and every statement learned from a full view was sent again 27 times, so that 340 hosts used more than 3 KB a second each for minutes after a start. Reports of deaths in full views were checked against the current incarnation, so that a healed partition of 40 hosts kept refuting for 50 s.

Change: a new table revision or leaving is told to three random members at once; the time between reads of the host list grows with the view, and its leaving marks travel as statements; statements from full views are not sent on; a report is checked in the incarnation it names. A host that the list marks as leaving announces it itself, unless the mark is left from the life before its restart.

A timer with no time left is no longer selected on: under synctest and the race detector that could crash the runtime.

--- a/membership/hostlist.go
+++ b/membership/hostlist.go
@@ -27,9 +27,9 @@
 func (m *Membership) hostListGap() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	mean := hostListInterval
-	if !m.listRead {
-		mean = hostListRetry
+	mean := hostListRetry
+	if m.listRead {
+		mean = max(minHostListInterval, time.Duration(len(m.records))*hostListPerMember)
 	}
 	return mean*3/4 + time.Duration(m.rand.Int64N(int64(mean/2)))
 }
@@ -82,24 +82,45 @@
 func (m *Membership) addListed(id domain.HostID, h ports.ListedHost, now time.Time) {
 	r, known := m.records[id]
 	if !known {
-		state := domain.MemberAlive
-		if m.listRead {
-			state = domain.MemberSuspect
-		}
 		r = &record{changed: now, member: domain.Member{
 			ID:            id,
 			Zone:          h.Zone,
 			PeerAddress:   h.PeerAddress,
 			CallerAddress: h.CallerAddress,
-			State:         state,
+			State:         m.listedState(h),
 		}}
 		m.insert(r)
 	}
 	r.missing, r.excluded = time.Time{}, false
-	r.listLeaving = h.Leaving
 	if !r.verified() {
 		r.member.PeerAddress, r.member.CallerAddress = h.PeerAddress, h.CallerAddress
 	}
+	m.noteMark(r, h.Leaving)
+}
+
+// listedState returns the state of a host that is known from the host list only.
+func (m *Membership) listedState(h ports.ListedHost) domain.MemberState {
+	if m.listRead {
+		return domain.MemberSuspect
+	}
+	if h.Leaving {
+		return domain.MemberLeaving
+	}
+	return domain.MemberAlive
+}
+
+// noteMark spreads that a member is leaving where the host list began to say so
+// after the member's last restart. A mark that was there before may be left from
+// the life before, as the list lags.
+func (m *Membership) noteMark(r *record, leaving bool) {
+	began := leaving && !r.listLeaving && r.listIncarnation == r.member.Incarnation
+	if began && r.verified() && r.member.State == domain.MemberAlive {
+		update := r.member
+		update.State = domain.MemberLeaving
+		m.apply(r, update)
+		m.spread.add(r.member)
+	}
+	r.listLeaving, r.listIncarnation = leaving, r.member.Incarnation
 }
 
 // noteUnlisted excludes members that the list does not have and drops those that
@@ -119,9 +140,11 @@
 	}
 }
 
-// noteOwnEntry announces leaving where the host list marks this host as leaving.
+// noteOwnEntry announces leaving where the host list began to mark this host as
+// leaving. A mark on the first read may be left from the life before.
 func (m *Membership) noteOwnEntry(h ports.ListedHost) {
-	if h.Leaving {
+	if h.Leaving && m.ownUnmarked {
 		m.leave()
 	}
+	m.ownUnmarked = m.ownUnmarked || !h.Leaving
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -49,7 +49,8 @@
 	cfg    Config
 	counts counts
 	ready  atomic.Bool
-	// snapshot is the view that readers get; it is replaced and never changed.
+	// snapshot is the view that readers get. It is never changed, and nil where it
+	// must be made anew.
 	snapshot atomic.Pointer[[]domain.Member]
 
 	mu       sync.Mutex
@@ -59,14 +60,16 @@
 	spread   broadcasts
 	rand     *rand.Rand
 	rotation []domain.HostID
-	// verify holds members whose death another host reported in a full view.
-	verify []domain.HostID
-	// announce says that the next round sends extra probes to spread a statement.
-	announce bool
+	// verify holds deaths and suspicions that other hosts reported in full views.
+	verify []domain.Member
+	// kick makes Run spread news at once.
+	kick     chan struct{}
 	listRead bool
-	nextSync time.Time
-	syncGap  time.Duration
-	lastHeal time.Time
+	// ownUnmarked says that the host list had this host without a leaving mark.
+	ownUnmarked bool
+	nextSync    time.Time
+	syncGap     time.Duration
+	lastHeal    time.Time
 }
 
 // New returns a view that holds only this host. The incarnation starts at the
@@ -92,6 +95,7 @@
 		spread:  newBroadcasts(),
 		rand:    rand.New(rand.NewPCG(cfg.Seed, hash.Sum64())),
 		syncGap: firstSync,
+		kick:    make(chan struct{}, 1),
 	}
 	m.spread.add(m.self)
 	m.publish()
@@ -115,13 +119,21 @@
 // Members implements ports.Membership. The result is shared and must not be
 // changed.
 func (m *Membership) Members() []domain.Member {
-	return *m.snapshot.Load()
+	if view := m.snapshot.Load(); view != nil {
+		return *view
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	view := m.render()
+	m.snapshot.Store(&view)
+	return view
 }
 
 // Ready says whether the host has read the host list and tried to join.
 func (m *Membership) Ready() bool { return m.ready.Load() }
 
-// SetRevision sets the table revision that this host tells others.
+// SetRevision sets the table revision that this host tells others. Lower ones
+// than before are ignored.
 func (m *Membership) SetRevision(revision domain.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -130,6 +142,16 @@
 	}
 	m.self.Revision = revision
 	m.publish()
+	m.announce()
+}
+
+// announce makes Run send extra probes, so that news reaches the others before
+// the next period.
+func (m *Membership) announce() {
+	select {
+	case m.kick <- struct{}{}:
+	default:
+	}
 }
 
 // Leave announces that this host takes no new work. It returns once the
@@ -148,27 +170,34 @@
 	m.self.State = domain.MemberLeaving
 	m.self.Incarnation++
 	m.spread.add(m.self)
-	m.announce = true
 	m.publish()
+	m.announce()
 	klog.InfoS("leaving announced", "host", m.self.ID)
 }
 
-// publish replaces the snapshot. The caller holds the lock, or is New.
+// publish makes readers see the current state. The caller holds the lock, or is
+// New.
 func (m *Membership) publish() {
-	view := make([]domain.Member, 0, len(m.records)+1)
-	view = append(view, m.self)
+	m.snapshot.Store(nil)
 	alive := 0
 	for _, r := range m.records {
-		member := r.effective()
-		view = append(view, member)
-		if member.State == domain.MemberAlive {
+		if r.member.State == domain.MemberAlive && !r.excluded {
 			alive++
 		}
 	}
+	m.counts.alive.Set(int64(alive))
+	m.counts.known.Set(int64(len(m.records)))
+}
+
+// render returns the view for readers, sorted by identifier.
+func (m *Membership) render() []domain.Member {
+	view := make([]domain.Member, 0, len(m.records)+1)
+	view = append(view, m.self)
+	for _, r := range m.records {
+		view = append(view, r.effective())
+	}
 	slices.SortFunc(view, func(a, b domain.Member) int {
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
-	m.counts.alive.Set(int64(alive))
-	m.counts.known.Set(int64(len(m.records)))
-	m.snapshot.Store(&view)
+	return view
 }
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -35,11 +35,16 @@
 }
 
 // refute answers a statement about this host that is not its own current one. It
-// reports whether the own entry changed.
+// reports whether the own entry changed. That this host is leaving is accepted: a
+// peer read it on the host list.
 func (m *Membership) refute(update domain.Member) bool {
 	if update.Incarnation == m.self.Incarnation && update.State == m.self.State {
 		return false
 	}
+	if update.Incarnation == m.self.Incarnation && update.State == domain.MemberLeaving {
+		m.leave()
+		return true
+	}
 	m.spread.add(m.self)
 	if update.Incarnation < m.self.Incarnation {
 		return false
@@ -55,7 +60,7 @@
 func (m *Membership) mergeOne(update domain.Member, from source) bool {
 	r, known := m.records[update.ID]
 	if !known {
-		return m.addFromPeer(update)
+		return m.addFromPeer(update, from)
 	}
 	changed := m.raiseRevision(r, update.Revision)
 	if !supersedes(update, r.member) {
@@ -71,9 +76,18 @@
 		}
 	}
 	m.apply(r, update)
+	m.respread(r.member, from)
 	return true
 }
 
+// respread passes on what came by gossip. Full views reach the others by
+// themselves.
+func (m *Membership) respread(member domain.Member, from source) {
+	if from == fromGossip {
+		m.spread.add(member)
+	}
+}
+
 // checkReport plans a probe of a member that another host's full view has as dead
 // or suspect. The member refutes the statement, so that views which drifted apart
 // in a partition come together without declaring anyone dead.
@@ -84,20 +98,21 @@
 	if m.records[update.ID].member.State == domain.MemberSuspect {
 		return
 	}
-	if !slices.Contains(m.verify, update.ID) {
-		m.verify = append(m.verify, update.ID)
+	known := slices.ContainsFunc(m.verify, func(v domain.Member) bool { return v.ID == update.ID })
+	if !known {
+		m.verify = append(m.verify, compact(update))
 	}
 }
 
 // addFromPeer adds a member that another host told of. Deaths of unknown members
 // are ignored, as they would bring back dropped ones.
-func (m *Membership) addFromPeer(update domain.Member) bool {
+func (m *Membership) addFromPeer(update domain.Member, from source) bool {
 	if update.State == domain.MemberDead || update.PeerAddress == "" || update.Incarnation == 0 {
 		return false
 	}
 	r := &record{member: update, changed: time.Now()}
 	m.insert(r)
-	m.spread.add(update)
+	m.respread(update, from)
 	return true
 }
 
@@ -108,7 +123,7 @@
 	m.rotation = slices.Insert(m.rotation, at, r.member.ID)
 }
 
-// apply replaces what is known about a member and spreads it.
+// apply replaces what is known about a member.
 func (m *Membership) apply(r *record, update domain.Member) {
 	old := r.member
 	if update.PeerAddress == "" {
@@ -116,7 +131,6 @@
 	}
 	update.Revision = max(update.Revision, old.Revision)
 	r.member = update
-	m.spread.add(update)
 	if old.State == update.State {
 		return
 	}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -26,23 +26,42 @@
 	}
 	ticker := time.NewTicker(m.cfg.Period)
 	defer ticker.Stop()
+	announced := time.Now()
 	last := time.Now()
-	for tick := 0; ; tick++ {
-		m.round(ctx, &tasks, tick)
+	m.round(ctx, &tasks, 0)
+	for tick := 1; ; {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
-		}
-		if now := time.Now(); now.Sub(last) > pausePeriods*m.cfg.Period {
-			m.resume(now)
+		case <-m.kick:
+			if !sleep(ctx, announceGap-time.Since(announced)) {
+				return nil
+			}
+			announced = time.Now()
+			m.probeAll(ctx, &tasks, m.announceTargets())
+		case now := <-ticker.C:
+			if now.Sub(last) > pausePeriods*m.cfg.Period {
+				m.resume(now)
+			}
+			last = now
+			m.round(ctx, &tasks, tick)
+			tick++
 		}
-		last = time.Now()
+	}
+}
+
+// probeAll starts a probe of each target.
+func (m *Membership) probeAll(ctx context.Context, tasks *sync.WaitGroup, targets []target) {
+	for _, to := range targets {
+		tasks.Go(func() { m.probe(ctx, to) })
 	}
 }
 
 // sleep waits and returns false where the context ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
@@ -56,9 +75,7 @@
 // round does the work of one period.
 func (m *Membership) round(ctx context.Context, tasks *sync.WaitGroup, tick int) {
 	m.expireSuspicions(time.Now())
-	for _, target := range m.targets(tick) {
-		tasks.Go(func() { m.probe(ctx, target) })
-	}
+	m.probeAll(ctx, tasks, m.targets(tick))
 	if target, ok := m.syncTarget(time.Now()); ok {
 		tasks.Go(func() { m.sync(ctx, target) })
 	}
@@ -91,6 +108,7 @@
 		dead := r.member
 		dead.State = domain.MemberDead
 		m.apply(r, dead)
+		m.spread.add(r.member)
 		m.counts.deaths.Add(1)
 		changed = true
 	}
@@ -108,9 +126,19 @@
 	wasDead bool
 }
 
+// announceTargets returns random members to tell news at once.
+func (m *Membership) announceTargets() []target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []target
+	for _, id := range m.randomMembers(announceProbes, "", domain.MemberAlive) {
+		out = append(out, target{id: id})
+	}
+	return out
+}
+
 // targets returns the members to probe in this period: the next of the rotation,
-// one whose death was reported, now and then one that is dead, and some more after
-// this host began to leave.
+// one whose death was reported, and now and then one that is dead.
 func (m *Membership) targets(tick int) []target {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -118,21 +146,14 @@
 	if id, ok := m.nextInRotation(); ok {
 		out = append(out, target{id: id})
 	}
-	if r, ok := m.nextToVerify(); ok {
-		report := domain.Member{ID: r.member.ID, State: domain.MemberDead, Incarnation: r.member.Incarnation}
-		out = append(out, target{id: r.member.ID, report: &report})
+	if report, ok := m.nextToVerify(); ok {
+		out = append(out, target{id: report.ID, report: &report})
 	}
 	if tick%deadRetryPeriods == deadRetryPeriods-1 {
 		if id, ok := m.randomMember(domain.MemberDead); ok {
 			out = append(out, target{id: id, wasDead: true})
 		}
 	}
-	if m.announce {
-		m.announce = false
-		for _, id := range m.randomMembers(announceProbes, "", domain.MemberAlive) {
-			out = append(out, target{id: id})
-		}
-	}
 	return out
 }
 
@@ -163,19 +184,22 @@
 	})
 }
 
-// nextToVerify returns the next member whose death was reported, if this host
-// still holds it alive.
-func (m *Membership) nextToVerify() (*record, bool) {
+// nextToVerify returns the next reported death of a member that this host still
+// holds alive in the same incarnation.
+func (m *Membership) nextToVerify() (domain.Member, bool) {
 	for len(m.verify) > 0 {
 		at := m.rand.IntN(len(m.verify))
-		id := m.verify[at]
+		report := m.verify[at]
 		m.verify = slices.Delete(m.verify, at, at+1)
-		r, ok := m.records[id]
-		if ok && r.member.State != domain.MemberDead && r.member.State != domain.MemberSuspect {
-			return r, true
+		r, ok := m.records[report.ID]
+		if !ok || r.member.Incarnation != report.Incarnation {
+			continue
+		}
+		if rank(r.member.State) < rank(report.State) {
+			return report, true
 		}
 	}
-	return nil, false
+	return domain.Member{}, false
 }
 
 // randomMember returns a random member in one of the states.
@@ -310,6 +334,7 @@
 	suspect := r.member
 	suspect.State = domain.MemberSuspect
 	m.apply(r, suspect)
+	m.spread.add(r.member)
 	m.counts.suspicions.Add(1)
 	m.publish()
 	klog.InfoS("member suspected", "host", m.self.ID, "member", id)
--- a/membership/record.go
+++ b/membership/record.go
@@ -14,8 +14,10 @@
 	// missing is since when reads of the host list lack the member; zero where
 	// the last read had it, or none came yet.
 	missing time.Time
-	// listLeaving says that the host list marks the member as leaving.
-	listLeaving bool
+	// listLeaving and listIncarnation are the mark on the host list and the
+	// member's incarnation at the last read.
+	listLeaving     bool
+	listIncarnation uint64
 	// excluded says that the member has been missing on the host list for longer
 	// than the grace time.
 	excluded bool
@@ -25,11 +27,11 @@
 // host list.
 func (r *record) verified() bool { return r.member.Incarnation > 0 }
 
-// effective returns the member as others should see it: the host list can make an
-// alive member leaving.
+// effective returns the member as decisions should see it: one that may not take
+// part gets no new work.
 func (r *record) effective() domain.Member {
 	m := r.member
-	if m.State == domain.MemberAlive && (r.listLeaving || r.excluded) {
+	if m.State == domain.MemberAlive && r.excluded {
 		m.State = domain.MemberLeaving
 	}
 	return m
--- a/membership/timing.go
+++ b/membership/timing.go
@@ -16,11 +16,11 @@
 	indirectProbes = 3
 	// minSuspicionPeriods is the shortest suspicion in periods.
 	minSuspicionPeriods = 3
-	// retransmitFactor times log2 of the number of members bounds how often a
-	// host sends one statement.
-	retransmitFactor = 3
+	// retransmitExtra plus log2 of the number of members bounds how often a host
+	// sends one statement.
+	retransmitExtra = 6
 	// maxUpdateBytes bounds the statements in one message, estimated.
-	maxUpdateBytes = 400
+	maxUpdateBytes = 300
 	// maxStrikes bounds the strikes in one message.
 	maxStrikes = 8
 	// deadRetryPeriods is the number of periods between probes of members that
@@ -42,13 +42,21 @@
 	syncTimeout = 2 * time.Second
 	// healMembers is the number of members that a partition separates at least.
 	healMembers = 3
-	// announceProbes is the number of extra probes that spread leaving at once.
+	// announceProbes is the number of extra probes that spread a new table
+	// revision or leaving at once.
 	announceProbes = 3
+	// announceGap is the shortest time between such extra probes.
+	announceGap = 500 * time.Millisecond
 	// healSyncGap is the shortest time between syncs with members that came back.
 	healSyncGap = 10 * time.Second
 
-	// hostListInterval is the mean time between reads of the host list.
-	hostListInterval = 5 * time.Second
+	// minHostListInterval is the shortest mean time between a host's reads of the
+	// host list.
+	minHostListInterval = 5 * time.Second
+	// hostListPerMember makes the time between reads grow with the view, so that
+	// the bytes per second stay the same. Some host reads the list in each such
+	// time, and gossip spreads what it found.
+	hostListPerMember = 500 * time.Millisecond
 	// hostListRetry is the time to the next read while none has succeeded.
 	hostListRetry = time.Second
 	// hostListTimeout bounds one read of the host list.
@@ -70,7 +78,7 @@
 
 // retransmitLimit returns how often a host sends one statement.
 func retransmitLimit(n int) int {
-	return retransmitFactor * max(1, log2(n))
+	return retransmitExtra + log2(n)
 }
 
 // steadySync returns the time between full view syncs in a view of n members.
