Keep only settings that a host acts on

Probe, grant, lease and claim timings had no effect, and terms that differ from host to host would break the margins between them; they stay constants of their packages. The store's limits are those of the platform for all hosts together, as each host takes its share by the number of hosts.

--- a/adapters/settings/check.go
+++ b/adapters/settings/check.go
@@ -103,8 +103,9 @@
 
 func (c *checker) limits(l Limits) {
 	c.require(l.MaxBodyBytes > 0, "limits.max_body_bytes", "the limit is not above 0", "write a number of bytes")
-	c.require(l.StoreWritesPerSecond > 0, "limits.store_writes_per_second", "the limit is not above 0",
-		"write the host's share of the table service's writes a second")
+	const remedy = "write what the platform allows to all hosts together"
+	c.require(l.StoreWritesPerSecond > 0, "limits.store_writes_per_second", "the limit is not above 0", remedy)
+	c.require(l.StoreReadsPerSecond > 0, "limits.store_reads_per_second", "the limit is not above 0", remedy)
 }
 
 func (c *checker) log(l Log) {
--- a/adapters/settings/load.go
+++ b/adapters/settings/load.go
@@ -15,17 +15,9 @@
 	defaultDrainMargin          = 2 * time.Second
 	defaultTablePoll            = 2 * time.Second
 	defaultHostListPoll         = 5 * time.Second
-	defaultProbeInterval        = time.Second
-	defaultProbeTimeout         = 300 * time.Millisecond
-	defaultSuspectTimeout       = 4 * time.Second
-	defaultGrantTerm            = 6 * time.Second
-	defaultGrantRenew           = 2 * time.Second
-	defaultLeaseTerm            = 15 * time.Second
-	defaultLeaseRenew           = 5 * time.Second
-	defaultLeaseMargin          = 3 * time.Second
-	defaultClaimWait            = 5 * time.Second
 	defaultMaxBodyBytes         = 4 << 20
-	defaultStoreWritesPerSecond = 30
+	defaultStoreWritesPerSecond = 300
+	defaultStoreReadsPerSecond  = 2000
 )
 
 // Default returns settings with every optional value at its default. Required
@@ -41,19 +33,11 @@
 			DrainMargin:       domain.Duration(defaultDrainMargin),
 			TablePoll:         domain.Duration(defaultTablePoll),
 			HostListPoll:      domain.Duration(defaultHostListPoll),
-			ProbeInterval:     domain.Duration(defaultProbeInterval),
-			ProbeTimeout:      domain.Duration(defaultProbeTimeout),
-			SuspectTimeout:    domain.Duration(defaultSuspectTimeout),
-			GrantTerm:         domain.Duration(defaultGrantTerm),
-			GrantRenew:        domain.Duration(defaultGrantRenew),
-			LeaseTerm:         domain.Duration(defaultLeaseTerm),
-			LeaseRenew:        domain.Duration(defaultLeaseRenew),
-			LeaseMargin:       domain.Duration(defaultLeaseMargin),
-			ClaimWait:         domain.Duration(defaultClaimWait),
 		},
 		Limits: Limits{
 			MaxBodyBytes:         defaultMaxBodyBytes,
 			StoreWritesPerSecond: defaultStoreWritesPerSecond,
+			StoreReadsPerSecond:  defaultStoreReadsPerSecond,
 		},
 	}
 }
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -137,41 +137,17 @@
 	TablePoll domain.Duration `yaml:"table_poll"`
 	// HostListPoll is the time between reads of the host list. Default: 5s.
 	HostListPoll domain.Duration `yaml:"host_list_poll"`
-	// ProbeInterval is the time between two membership probes. Default: 1s.
-	ProbeInterval domain.Duration `yaml:"probe_interval"`
-	// ProbeTimeout bounds a direct membership probe. It must be shorter than
-	// probe_interval. Default: 300ms.
-	ProbeTimeout domain.Duration `yaml:"probe_timeout"`
-	// SuspectTimeout is how long a suspected host has to answer before it counts
-	// as dead. It must be longer than probe_interval. Default: 4s.
-	SuspectTimeout domain.Duration `yaml:"suspect_timeout"`
-	// GrantTerm is how long a grant of a decode place lasts without renewal.
-	// Default: 6s.
-	GrantTerm domain.Duration `yaml:"grant_term"`
-	// GrantRenew is the time between renewals of grants. At most half of
-	// grant_term. Default: 2s.
-	GrantRenew domain.Duration `yaml:"grant_renew"`
-	// LeaseTerm is how long the lease for engine orders lasts without renewal.
-	// Default: 15s.
-	LeaseTerm domain.Duration `yaml:"lease_term"`
-	// LeaseRenew is the time between renewals of that lease. It must be shorter
-	// than lease_term less lease_margin. Default: 5s.
-	LeaseRenew domain.Duration `yaml:"lease_renew"`
-	// LeaseMargin is how long before expiry a holder stops to send orders.
-	// Default: 3s.
-	LeaseMargin domain.Duration `yaml:"lease_margin"`
-	// ClaimWait is how long a repeated non-idempotent call waits for the outcome
-	// of the first. Default: 5s.
-	ClaimWait domain.Duration `yaml:"claim_wait"`
 }
 
 // Limits bounds what a host takes on.
 type Limits struct {
 	// MaxBodyBytes bounds the body of a caller's request, in bytes. Default: 4194304.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
-	// StoreWritesPerSecond is the host's share of the table service's writes.
-	// Default: 30.
+	// StoreWritesPerSecond is the number of writes a second that the platform's
+	// table service and object store allow to all hosts together. Default: 300.
 	StoreWritesPerSecond int `yaml:"store_writes_per_second"`
+	// StoreReadsPerSecond is the same for reads. Default: 2000.
+	StoreReadsPerSecond int `yaml:"store_reads_per_second"`
 }
 
 // Log configures the log on standard error.
