Find faults against the rows in force before the first edit

A file with one row that did not fit was applied up to that row. All edits of a file are now made on a copy in memory first, and a fault names the file's line.

--- a/adapters/cli/caller_flags.go
+++ b/adapters/cli/caller_flags.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -95,6 +96,9 @@
 		return nil
 	}
 	var unreachable *gateclient.UnreachableError
+	if refusal, ok := domain.AsRefusal(err); ok && refusal.RetryAfter > 0 {
+		err = fmt.Errorf("%w; retry after %s", err, refusal.RetryAfter)
+	}
 	switch {
 	case gateclient.IsUnknown(err):
 		return &Fault{Code: ExitUnknown, Err: err}
--- a/adapters/cli/change_set.go
+++ b/adapters/cli/change_set.go
@@ -21,6 +21,8 @@
 	// read is the revision at which the operator read the rows; 0 where it is
 	// not known.
 	read domain.Revision
+	// locate adds file and line to an error; nil leaves errors as they are.
+	locate func(error) error
 }
 
 // make prints and makes the changes. It returns the last revision, or that of the
@@ -35,9 +37,13 @@
 			return 0, s.explain(err)
 		}
 	}
+	// A list with a fault is not begun.
+	if err := dryRun(ctx, snapshot, changes); err != nil {
+		return 0, s.explain(err)
+	}
 	if s.flags.dryRun {
 		s.printDryRun(snapshot, changes)
-		return snapshot.Revision, dryRun(ctx, snapshot, changes)
+		return snapshot.Revision, nil
 	}
 	return s.apply(ctx, snapshot.Revision, changes)
 }
@@ -84,8 +90,12 @@
 	}
 }
 
-// explain prints both values of a conflict and returns the error.
+// explain prints both values of a conflict, and adds file and line to an error
+// where they are known.
 func (s *changeSet) explain(err error) error {
+	if err != nil && s.locate != nil {
+		err = s.locate(err)
+	}
 	var conflict *tables.ConflictError
 	if errors.As(err, &conflict) {
 		printf(s.streams.Err, "%s/%s: - in force, + wanted\n", conflict.Table, conflict.Row)
--- a/adapters/cli/tables_apply.go
+++ b/adapters/cli/tables_apply.go
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	change := &changeSet{editor: editor, flags: f.edit, streams: streams, read: file.Revision}
+	change := &changeSet{editor: editor, flags: f.edit, streams: streams, read: file.Revision, locate: file.Locate}
 	revision, err := change.make(ctx, snapshot, changes)
 	if err != nil || f.edit.dryRun {
 		return err
--- a/adapters/tablefile/file.go
+++ b/adapters/tablefile/file.go
@@ -19,6 +19,8 @@
 	Revision domain.Revision `yaml:"revision,omitempty"`
 	Routes   []domain.Route  `yaml:"routes"`
 	Pools    []domain.Pool   `yaml:"pools"`
+
+	doc *strictyaml.Document
 }
 
 // Load reads and checks a table file. Faults are *Error.
@@ -43,9 +45,51 @@
 	if fault := check(doc, f); fault != nil {
 		return nil, fault
 	}
+	f.doc = doc
 	return f, nil
 }
 
+// Locate turns the error of an edit that does not fit the other rows into an
+// *Error with the line of the file. Other errors come back as they are.
+func (f *File) Locate(err error) error {
+	var invalidRow *tables.InvalidRowError
+	var unknownPool *tables.UnknownPoolError
+	switch {
+	case f.doc == nil:
+		return err
+	case errors.As(err, &invalidRow):
+		at, found := f.path(invalidRow.Table, invalidRow.Row)
+		if found {
+			return f.doc.ErrorAt(at+"."+invalidRow.Field, invalidRow.Message, invalidRow.Remedy)
+		}
+	case errors.As(err, &unknownPool):
+		at, found := f.path(domain.TableRoutes, string(unknownPool.Route))
+		if found {
+			return f.doc.ErrorAt(at+".pool", fmt.Sprintf("pool %q does not exist", unknownPool.Pool),
+				"create the pool or correct the name")
+		}
+	}
+	return err
+}
+
+// path returns the key of a row in the file.
+func (f *File) path(table domain.TableName, row string) (string, bool) {
+	if table == domain.TableRoutes {
+		for i, route := range f.Routes {
+			if string(route.Name) == row {
+				return fmt.Sprintf("routes[%d]", i), true
+			}
+		}
+		return "", false
+	}
+	for i, pool := range f.Pools {
+		if string(pool.Name) == row {
+			return fmt.Sprintf("pools[%d]", i), true
+		}
+	}
+	return "", false
+}
+
 // check returns the first fault of decoded rows, or nil.
 func check(doc *strictyaml.Document, f *File) *Error {
 	if f.Revision < 0 {
