--- a/adapters/enginehttp/enginehttp_test.go
+++ b/adapters/enginehttp/enginehttp_test.go
@@ -93,7 +93,7 @@
 		if err != nil || len(frames) != 10-after || frames[0].Number != after+1 || !frames[len(frames)-1].Last {
 			t.Fatalf("after %d: frames %v, error %v", after, frames, err)
 		}
-		if frames[0].Text != engine.TokenText(prompt, after+1) {
+		if frames[0].Text != engine.AnswerTo(prompt).Token(after+1) {
 			t.Errorf("token %d is %q", after+1, frames[0].Text)
 		}
 		_ = s.Close()
--- a/internal/simnet/network.go
+++ b/internal/simnet/network.go
@@ -108,7 +108,7 @@
 	if from.Zone != to.Zone {
 		d = n.cfg.ZoneDelay
 	}
-	h := mix(key ^ n.cfg.Seed ^ xxhash.Sum64String(from.Name+"\x00"+to.Name))
+	h := mix(key ^ n.cfg.Seed ^ xxhash.Sum64String(from.Name) ^ mix(xxhash.Sum64String(to.Name)))
 	if n.cfg.Jitter > 0 {
 		d += time.Duration(h % uint64(n.cfg.Jitter))
 	}
--- a/replay/arrivals.go
+++ b/replay/arrivals.go
@@ -69,6 +69,8 @@
 type CallerShare struct {
 	Name  domain.CallerID `yaml:"name"`
 	Share float64         `yaml:"share"`
+	// muted callers take part in the draws, but send nothing.
+	muted bool
 }
 
 // Lengths is a log-normal distribution of token counts.
@@ -111,7 +113,7 @@
 
 func (t *Trace) generate(g Generator, rng *rand.Rand) []Arrival {
 	until := g.Until
-	if until == 0 {
+	if until == 0 || until > t.Duration {
 		until = t.Duration
 	}
 	documents := newLibrary(g, rng)
@@ -122,7 +124,9 @@
 		if at >= until.D() {
 			break
 		}
-		out = append(out, g.draw(at, documents, rng))
+		if a := g.draw(at, documents, rng); !g.mutes(a.Caller) {
+			out = append(out, a)
+		}
 	}
 	return out
 }
@@ -149,6 +153,15 @@
 	return a
 }
 
+func (g Generator) mutes(caller domain.CallerID) bool {
+	for _, c := range g.Callers {
+		if c.Name == caller {
+			return c.muted
+		}
+	}
+	return false
+}
+
 // percent is the whole of a percentage.
 const percent = 100
 
--- a/replay/baseline.go
+++ b/replay/baseline.go
@@ -25,6 +25,8 @@
 type baselinePlace struct {
 	prefill, decode domain.Upstream
 	release         func()
+	// onFrame is called for each frame that was read; it may be nil.
+	onFrame func()
 	// full lists decode upstreams that refused the attempt.
 	full map[domain.UpstreamID]bool
 }
@@ -183,6 +185,9 @@
 		if err != nil {
 			return err
 		}
+		if place.onFrame != nil {
+			place.onFrame()
+		}
 		if err := r.take(frame); err != nil {
 			return err
 		}
--- a/replay/caller.go
+++ b/replay/caller.go
@@ -26,6 +26,8 @@
 	arrival Arrival
 	route   domain.Route
 	prompt  string
+	// expected is the answer that the request should receive.
+	expected engine.Answer
 
 	sent time.Time
 	// ended is when the caller had the answer, a refusal, or left.
@@ -144,7 +146,7 @@
 	case f.Number <= c.tokens:
 		c.repeated++
 		return
-	case f.Number != c.tokens+1 || c.whole || f.Text != engine.TokenText(c.prompt, f.Number):
+	case f.Number != c.tokens+1 || c.whole || f.Text != c.expected.Token(f.Number):
 		c.wrong++
 	}
 	if c.tokens == 0 {
--- a/replay/main_test.go
+++ b/replay/main_test.go
@@ -3,11 +3,14 @@
 import (
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 	"testing/synctest"
+
+	"k8s.io/klog/v2"
 )
 
 var (
@@ -19,6 +22,8 @@
 // -trace for the output file of an execution trace, which would overwrite FILE.
 func TestMain(m *testing.M) {
 	flag.Parse()
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
 	if file := flag.Lookup("test.trace").Value.String(); isTraceFile(file) {
 		if !filepath.IsAbs(file) {
 			file = filepath.Join(flag.Lookup("test.outputdir").Value.String(), file)
@@ -51,6 +56,7 @@
 	"greengagespoke": Gates{},
 	"least-loaded":   LeastLoaded{},
 	"fixed-shares":   FixedShares{},
+	"oracle":         oracle{},
 }
 
 // replayTrace runs one trace in a bubble of its own.
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -20,7 +20,9 @@
 	FairnessIntervals int     `json:"fairness_intervals"`
 	// SlotsBusy is the mean part of the decode slots in use.
 	SlotsBusy float64 `json:"slots_busy"`
-	Crashes   int     `json:"crashes"`
+	// PrefillBusy is the mean part of the time that prefill upstreams computed.
+	PrefillBusy float64 `json:"prefill_busy"`
+	Crashes     int     `json:"crashes"`
 	// InnocentsRefused counts refused requests that were not poisoned.
 	InnocentsRefused int                          `json:"innocents_refused"`
 	Callers          map[domain.CallerID]Measures `json:"callers"`
@@ -70,6 +72,7 @@
 	if r.slots.total > 0 {
 		result.SlotsBusy = round(float64(r.slots.used) / float64(r.slots.total))
 	}
+	result.PrefillBusy = round(prefillBusy(r))
 	for _, e := range r.env.Fabric.Engines() {
 		result.Crashes += e.Counts().Crashes
 	}
@@ -86,6 +89,21 @@
 	return result
 }
 
+// prefillBusy estimates the part of the arrivals' time that the prefill upstreams
+// needed for the tokens that they computed.
+func prefillBusy(r *run) float64 {
+	var busy, total float64
+	for _, e := range r.env.Fabric.Engines() {
+		up := e.Upstream()
+		if up.Role != domain.RolePrefill {
+			continue
+		}
+		busy += float64(e.Counts().PrefillTokens) / float64(up.PrefillRate)
+		total += r.env.Trace.Duration.D().Seconds()
+	}
+	return busy / max(total, 1)
+}
+
 // measures works out the figures of some calls.
 func (r *run) measures(calls []*call, match func(domain.CallerID) bool) Measures {
 	m := Measures{Sent: len(calls), Refused: make(map[domain.RefusalKind]int)}
--- a/replay/run.go
+++ b/replay/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/standin/engine"
 )
 
 const (
@@ -84,7 +85,8 @@
 
 func (r *run) newCall(a Arrival) *call {
 	route, _ := r.env.Trace.route(a.Model)
-	return &call{run: r, arrival: a, route: route, prompt: r.prompts.text(a)}
+	prompt := r.prompts.text(a)
+	return &call{run: r, arrival: a, route: route, prompt: prompt, expected: engine.AnswerTo(prompt)}
 }
 
 // connect returns a context that ends when the host dies.
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -215,3 +215,47 @@
 func (t *Trace) window() time.Duration {
 	return (t.Duration - t.MeasureFrom).D()
 }
+
+// Without returns the trace without the requests of one caller.
+func (t *Trace) Without(caller domain.CallerID) *Trace {
+	cut := *t
+	cut.Name = t.Name + "-without-" + string(caller)
+	cut.Generators = make([]Generator, len(t.Generators))
+	for i, g := range t.Generators {
+		cut.Generators[i] = g.without(caller)
+	}
+	cut.Recorded = nil
+	for _, a := range t.Recorded {
+		if a.Caller != caller {
+			cut.Recorded = append(cut.Recorded, a)
+		}
+	}
+	return &cut
+}
+
+// without mutes a caller. The other callers' arrivals stay the same.
+func (g Generator) without(caller domain.CallerID) Generator {
+	g.Callers = append([]CallerShare(nil), g.Callers...)
+	for i := range g.Callers {
+		g.Callers[i].muted = g.Callers[i].muted || g.Callers[i].Name == caller
+	}
+	return g
+}
+
+// Cut returns a trace of the first part, measured from its beginning. Faults and
+// generators that begin later are moved to its middle.
+func (t *Trace) Cut(d time.Duration) *Trace {
+	cut := *t
+	cut.Duration = domain.Duration(d)
+	cut.MeasureFrom = 0
+	middle := domain.Duration(d / 2)
+	cut.Faults = append([]Fault(nil), t.Faults...)
+	for i := range cut.Faults {
+		cut.Faults[i].At = min(cut.Faults[i].At, middle)
+	}
+	cut.Generators = append([]Generator(nil), t.Generators...)
+	for i := range cut.Generators {
+		cut.Generators[i].From = min(cut.Generators[i].From, middle)
+	}
+	return &cut
+}
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -33,6 +33,16 @@
 	return len(keys)
 }
 
+// peek returns the number of leading keys in the cache.
+func (c *prefixCache) peek(keys []domain.PieceKey) int {
+	for i, key := range keys {
+		if _, ok := c.byKey[key]; !ok {
+			return i
+		}
+	}
+	return len(keys)
+}
+
 // store puts the keys into the cache. It returns the keys that are new and those
 // that made room for them. Earlier pieces of a prompt outlive later ones.
 func (c *prefixCache) store(keys []domain.PieceKey) (stored, removed []domain.PieceKey) {
--- a/standin/engine/decode.go
+++ b/standin/engine/decode.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sort"
 	"time"
 
@@ -39,15 +38,28 @@
 	return len(a.frames)
 }
 
+const hexDigits = "0123456789abcdef"
+
 // tokenText is the text of one token. It depends on the prompt and the number
 // only, so that an answer that goes on elsewhere is the same as an unbroken one.
 func tokenText(promptHash uint64, number int) string {
-	return fmt.Sprintf("%03x ", (promptHash+uint64(number)*0x9e3779b97f4a7c15)>>52)
+	x := (promptHash + uint64(number)*0x9e3779b97f4a7c15) >> 52
+	return string([]byte{hexDigits[x>>8&15], hexDigits[x>>4&15], hexDigits[x&15], ' '})
+}
+
+// Answer is the answer that every engine gives to a prompt.
+type Answer struct {
+	promptHash uint64
+}
+
+// AnswerTo returns the answer to a prompt.
+func AnswerTo(prompt string) Answer {
+	return Answer{promptHash: hashPrompt(prompt)}
 }
 
-// TokenText returns the text of token number n (from 1) of the answer to a prompt.
-func TokenText(prompt string, n int) string {
-	return tokenText(hashPrompt(prompt), n)
+// Token returns the text of token number n, from 1.
+func (a Answer) Token(n int) string {
+	return tokenText(a.promptHash, n)
 }
 
 // Decode implements ports.Engine.
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -137,6 +137,13 @@
 	return false
 }
 
+// CachedTokens returns the length of the longest cached prefix, without lag.
+func (e *Engine) CachedTokens(keys []domain.PieceKey) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.peek(keys) * domain.PieceTokens
+}
+
 // HeldPieces returns the pieces and slots of decodes in use now.
 func (e *Engine) HeldPieces() (pieces, slots int) {
 	e.mu.Lock()
