--- a/internal/simnet/views.go
+++ b/internal/simnet/views.go
@@ -1,6 +1,8 @@
 package simnet
 
 import (
+	"context"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -118,3 +120,47 @@
 
 // Routes implements ports.TableView.
 func (t *Tables) Routes() []domain.Route { return t.routes }
+
+// HostList is the platform's host list. It implements ports.HostList.
+type HostList struct {
+	mu    sync.Mutex
+	hosts []ports.ListedHost
+}
+
+var _ ports.HostList = (*HostList)(nil)
+
+// NewHostList returns a list of hosts.
+func NewHostList(hosts ...ports.ListedHost) *HostList {
+	return &HostList{hosts: hosts}
+}
+
+// Add puts a host on the list.
+func (l *HostList) Add(host ports.ListedHost) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts = append(slices.Clone(l.hosts), host)
+}
+
+// Remove takes a host off the list.
+func (l *HostList) Remove(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts = slices.DeleteFunc(slices.Clone(l.hosts), func(h ports.ListedHost) bool { return h.Name == name })
+}
+
+// SetLeaving marks a host or an upstream as leaving.
+func (l *HostList) SetLeaving(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts = slices.Clone(l.hosts)
+	for i := range l.hosts {
+		l.hosts[i].Leaving = l.hosts[i].Leaving || l.hosts[i].Name == name
+	}
+}
+
+// Hosts implements ports.HostList.
+func (l *HostList) Hosts(context.Context) ([]ports.ListedHost, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hosts, nil
+}
--- a/replay/env.go
+++ b/replay/env.go
@@ -31,9 +31,10 @@
 	Trace   *Trace
 	Fabric  *engine.Fabric
 	Network *simnet.Network
-	Members *simnet.Members
 	Tables  *simnet.Tables
-	Hosts   []Host
+	// HostList is the platform's list of the hosts.
+	HostList *simnet.HostList
+	Hosts    []Host
 	// Start is when the run began.
 	Start time.Time
 }
@@ -67,18 +68,18 @@
 			LossPercent: t.Links.LossPercent,
 			Seed:        t.Seed,
 		}),
-		Tables: simnet.NewTables(t.Routes, t.Pools),
-		Start:  time.Now(),
+		Tables:   simnet.NewTables(t.Routes, t.Pools),
+		HostList: simnet.NewHostList(),
 	}
-	var members []domain.Member
 	for _, group := range t.Hosts {
 		for range group.Count {
 			host := Host{ID: domain.HostID(fmt.Sprintf("host-%d", len(env.Hosts)+1)), Zone: group.Zone}
 			env.Hosts = append(env.Hosts, host)
-			members = append(members, domain.Member{ID: host.ID, Zone: host.Zone, State: domain.MemberAlive})
+			env.HostList.Add(ports.ListedHost{
+				Name: string(host.ID), Zone: host.Zone, PeerAddress: string(host.ID), CallerAddress: string(host.ID),
+			})
 		}
 	}
-	env.Members = simnet.NewMembers(members...)
 	for _, pool := range t.Pools {
 		for i, up := range pool.Upstreams {
 			env.newEngine(pool, up, uint64(i))
--- a/replay/gates.go
+++ b/replay/gates.go
@@ -9,7 +9,9 @@
 	"greengagespoke/domain"
 	"greengagespoke/internal/simnet"
 	"greengagespoke/keeper"
+	"greengagespoke/membership"
 	"greengagespoke/ports"
+	"greengagespoke/quarantine"
 	"greengagespoke/routing"
 )
 
@@ -42,17 +44,22 @@
 	set := counters.NewSet()
 	upstreams := env.Upstreams(h)
 	peers := env.Network.Peers(h.ID, h.Zone)
-	view := env.Members.View(h.ID)
+	strikes := quarantine.New(quarantine.Config{Counters: set})
 	host := &gateHost{counters: set}
+	host.members = membership.New(membership.Config{
+		Self:     domain.Member{ID: h.ID, Zone: h.Zone, PeerAddress: string(h.ID), CallerAddress: string(h.ID)},
+		HostList: env.HostList, Counters: set, Seed: env.Trace.Seed, Strikes: strikes,
+	})
+	host.members.Bind(peers)
 	host.keeper = keeper.New(keeper.Config{
-		Self: h.ID, Zone: h.Zone, Tables: env.Tables, Membership: view, Upstreams: upstreams,
-		Counters: set, Policy: g.Keeper, GatePeers: peers,
+		Self: h.ID, Zone: h.Zone, Tables: env.Tables, Membership: host.members, Upstreams: upstreams,
+		Counters: set, Policy: g.Keeper, GatePeers: peers, Quarantine: strikes,
 	})
 	host.gate = routing.New(routing.Config{
-		Tables: env.Tables, Membership: view, Peers: peers, Upstreams: upstreams,
-		Quarantine: noQuarantine{}, Claims: noClaims{}, Leaving: noLeaving{}, Counters: set,
+		Tables: env.Tables, Membership: host.members, Peers: peers, Upstreams: upstreams,
+		Quarantine: strikes, Claims: noClaims{}, Leaving: noLeaving{}, Counters: set,
 	})
-	env.Network.Attach(h.ID, h.Zone, simnet.Handlers{Keeper: host.keeper, Gate: host.gate})
+	env.Network.Attach(h.ID, h.Zone, simnet.Handlers{Keeper: host.keeper, Gate: host.gate, Gossip: host.members})
 	host.start()
 	return host
 }
@@ -61,6 +68,7 @@
 type gateHost struct {
 	gate     *routing.Gate
 	keeper   *keeper.Keeper
+	members  *membership.Membership
 	counters *counters.Set
 	cancel   context.CancelFunc
 	loops    sync.WaitGroup
@@ -69,6 +77,7 @@
 func (h *gateHost) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
+	h.loops.Go(func() { _ = h.members.Run(ctx) })
 	h.loops.Go(func() { _ = h.keeper.Run(ctx) })
 	h.loops.Go(func() { _ = h.gate.Run(ctx) })
 }
@@ -115,18 +124,3 @@
 
 // Leaving implements routing.Leaving.
 func (noLeaving) Leaving(domain.UpstreamID) bool { return false }
-
-// noQuarantine lets every request run.
-type noQuarantine struct{}
-
-// Check implements routing.Quarantine.
-func (noQuarantine) Check(uint64) *domain.Refusal { return nil }
-
-// Suspect implements routing.Quarantine.
-func (noQuarantine) Suspect(uint64) bool { return false }
-
-// Crashed implements routing.Quarantine.
-func (noQuarantine) Crashed(domain.UpstreamID, []uint64) {}
-
-// Finished implements routing.Quarantine.
-func (noQuarantine) Finished(uint64) {}
--- a/replay/run.go
+++ b/replay/run.go
@@ -13,6 +13,9 @@
 	// drainLimit bounds the time after the last arrival; requests that have not
 	// ended then count as lost.
 	drainLimit = 15 * time.Minute
+	// settleTime is how long hosts run before the first request, so that they know
+	// each other.
+	settleTime = 5 * time.Second
 	// sampleInterval is the time between samples of the slots in use.
 	sampleInterval = 250 * time.Millisecond
 )
@@ -24,6 +27,8 @@
 	prompts *prompts
 	service *serviceMeter
 	slots   slotMeter
+	// drain is how long requests may run after the last arrival.
+	drain time.Duration
 
 	mu    sync.Mutex
 	alive map[domain.HostID]context.Context
@@ -33,8 +38,21 @@
 // Run replays a trace under a policy and returns its measures. It must be called
 // inside a testing/synctest bubble.
 func Run(ctx context.Context, t *Trace, policy Policy) Result {
+	return runUntil(ctx, t, policy, drainLimit)
+}
+
+// RunWindow is Run without the time after the last arrival: requests that have
+// not ended by then are cut off and count as left. The goodput is the same.
+func RunWindow(ctx context.Context, t *Trace, policy Policy) Result {
+	return runUntil(ctx, t, policy, 0)
+}
+
+func runUntil(ctx context.Context, t *Trace, policy Policy, drain time.Duration) Result {
 	r := newRun(ctx, t)
+	r.drain = drain
 	r.fleet = policy.Start(r.env)
+	time.Sleep(settleTime)
+	r.env.Start = time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	var helpers sync.WaitGroup
 	helpers.Go(func() { r.injectFaults(ctx) })
@@ -69,7 +87,7 @@
 func (r *run) dispatch(ctx context.Context) []*call {
 	arrivals := r.env.Trace.Arrivals()
 	calls := make([]*call, len(arrivals))
-	limit := r.env.Trace.Duration.D() + drainLimit
+	limit := r.env.Trace.Duration.D() + r.drain
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var group sync.WaitGroup
@@ -102,7 +120,8 @@
 	}
 }
 
-// killHost takes a host off the network. The others notice it later.
+// killHost takes a host off the network. The others notice it by their
+// probes, and the host list drops it after its lag.
 func (r *run) killHost(ctx context.Context, host domain.HostID) {
 	r.env.Network.SetDead(string(host), true)
 	r.mu.Lock()
@@ -110,8 +129,8 @@
 	r.mu.Unlock()
 	kill()
 	r.fleet.KillHost(host)
-	if pause(ctx, r.env.Trace.Links.MembershipLag.D()) {
-		r.env.Members.SetState(host, domain.MemberDead)
+	if pause(ctx, r.env.Trace.Links.HostListLag.D()) {
+		r.env.HostList.Remove(string(host))
 	}
 }
 
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -45,8 +45,8 @@
 	LossPercent int             `yaml:"loss_percent"`
 	// ZoneRate is the KV transfer rate between two zones in bytes per second.
 	ZoneRate int64 `yaml:"zone_rate"`
-	// MembershipLag is how long hosts take to notice that a host died.
-	MembershipLag domain.Duration `yaml:"membership_lag"`
+	// HostListLag is how long the host list shows a host that died.
+	HostListLag domain.Duration `yaml:"host_list_lag"`
 }
 
 // HostGroup is a number of entry hosts in a zone.
