--- a/routing/config.go
+++ b/routing/config.go
@@ -81,8 +81,8 @@
 	Execute(ctx context.Context, caller domain.CallerID, key string, digest uint64, send SendFunc) (ports.ServiceResponse, error)
 }
 
-// Config holds what a gate works with. All fields but Timing and Scope are
-// required.
+// Config holds what a gate works with. All fields but Scope, Timing and Rand
+// are required.
 type Config struct {
 	Tables     ports.TableView
 	Membership ports.Membership
@@ -95,4 +95,7 @@
 	// Scope is the scope of upstream groups. Default groups.ScopeRegion.
 	Scope  groups.Scope
 	Timing Timing
+	// Rand returns a random number from 0 to n-1. Default rand.Int64N; replays
+	// replace it, so that their runs repeat.
+	Rand func(n int64) int64
 }
--- a/routing/gate.go
+++ b/routing/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -63,6 +64,9 @@
 	if cfg.Scope == "" {
 		cfg.Scope = groups.ScopeRegion
 	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.Int64N
+	}
 	base, closeBase := context.WithCancel(context.Background())
 	set := cfg.Counters
 	return &Gate{
--- a/routing/place.go
+++ b/routing/place.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"greengagespoke/domain"
@@ -46,8 +45,8 @@
 	if len(candidates) == 0 {
 		candidates = all
 	}
-	first := candidates[rand.IntN(len(candidates))]
-	second := candidates[rand.IntN(len(candidates))]
+	first := candidates[g.cfg.Rand(int64(len(candidates)))]
+	second := candidates[g.cfg.Rand(int64(len(candidates)))]
 	firstWait, _ := g.waits.Load(first.ID)
 	secondWait, _ := g.waits.Load(second.ID)
 	if secondWait < firstWait {
@@ -96,7 +95,7 @@
 		if refusal := f.keeperLost(lastAnswer); refusal != nil {
 			return place{}, refusal
 		}
-		if !sleep(ctx, jitter(g.timing.KeeperRetry)) {
+		if !sleep(ctx, g.jitter(g.timing.KeeperRetry)) {
 			return place{}, ctx.Err()
 		}
 	}
@@ -208,6 +207,6 @@
 }
 
 // jitter returns a duration between half and one and a half times d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
+func (g *Gate) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(g.cfg.Rand(int64(d)))
 }
--- a/routing/release.go
+++ b/routing/release.go
@@ -121,7 +121,7 @@
 		if g.cancelOnce(ctx, engine, id) == nil {
 			return
 		}
-		if !sleep(ctx, jitter(cancelPause)) {
+		if !sleep(ctx, g.jitter(cancelPause)) {
 			return
 		}
 	}
--- a/routing/service.go
+++ b/routing/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -148,7 +147,7 @@
 	if len(candidates) == 0 {
 		return domain.Upstream{}, false
 	}
-	return candidates[rand.IntN(len(candidates))], true
+	return candidates[g.cfg.Rand(int64(len(candidates)))], true
 }
 
 func filterUpstreams(ups []domain.Upstream, keep func(domain.Upstream) bool) []domain.Upstream {
