--- a/internal/simnet/network.go
+++ b/internal/simnet/network.go
@@ -17,6 +17,8 @@
 	retransmit = 200 * time.Millisecond
 	// cutTimeout is how long a call over a cut link hangs at most.
 	cutTimeout = 15 * time.Second
+	// maxSelfDelay bounds the delay of a call within a host.
+	maxSelfDelay = 20 * time.Microsecond
 	// percent is the whole of a percentage.
 	percent = 100
 )
@@ -118,6 +120,11 @@
 	return d
 }
 
+// selfDelay returns the delay of a call within a host.
+func selfDelay(key uint64) time.Duration {
+	return time.Duration(mix(key) % uint64(maxSelfDelay))
+}
+
 // mix spreads the bits of x (the finalizer of SplitMix64, Steele et al., 2014).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/simnet/peers.go
+++ b/internal/simnet/peers.go
@@ -30,7 +30,7 @@
 }
 
 // Peers returns the other hosts as a host sees them. Its own identifier gives
-// its own parts without delay.
+// its own parts.
 func (n *Network) Peers(self domain.HostID, zone domain.Zone) ports.Peers {
 	return &peers{network: n, self: Node{Name: string(self), Zone: zone}}
 }
@@ -68,7 +68,7 @@
 		return ports.ErrPeerUnreachable
 	}
 	if to.node.Name == p.peers.self.Name {
-		return f(to.handlers)
+		return p.callSelf(ctx, key, to, f)
 	}
 	var result error
 	if err := n.call(ctx, p.peers.self, to.node, key, func() { result = f(to.handlers) }); err != nil {
@@ -77,6 +77,15 @@
 	return result
 }
 
+// callSelf runs f on the host itself. A few microseconds keep calls of one instant
+// apart.
+func (p *peer) callSelf(ctx context.Context, key uint64, to *attached, f func(Handlers) error) error {
+	if !sleep(ctx, selfDelay(key)) {
+		return ports.ErrPeerUnreachable
+	}
+	return f(to.handlers)
+}
+
 // Acquire implements ports.Keeper.
 func (p *peer) Acquire(ctx context.Context, group domain.GroupID, req domain.PlaceRequest) (grant domain.Grant, err error) {
 	key := messageKey("acquire", req.ID, req.Waited)
--- a/internal/simnet/upstreams.go
+++ b/internal/simnet/upstreams.go
@@ -159,9 +159,12 @@
 func (s *remoteStream) Next(ctx context.Context) (domain.Frame, error) {
 	if s.held == nil {
 		frame, err := s.inner.Next(ctx)
-		if errors.Is(err, io.EOF) || err != nil {
+		if errors.Is(err, io.EOF) {
 			return domain.Frame{}, err
 		}
+		if err != nil {
+			return domain.Frame{}, s.broken(ctx, err)
+		}
 		s.held = &frame
 		s.heldAt = s.arrival(frame)
 	}
@@ -173,6 +176,15 @@
 	return frame, nil
 }
 
+// broken returns the error that ended the engine's stream when it reaches the host.
+func (s *remoteStream) broken(ctx context.Context, err error) error {
+	n := s.engine.upstreams.network
+	if ctx.Err() == nil {
+		sleep(ctx, n.delay(s.engine.node, s.engine.upstreams.self, s.key))
+	}
+	return err
+}
+
 // arrival returns when a frame reaches the host. Frames of one connection do not
 // overtake each other.
 func (s *remoteStream) arrival(frame domain.Frame) time.Time {
--- a/replay/faults.go
+++ b/replay/faults.go
@@ -8,6 +8,9 @@
 	"greengagespoke/standin/engine"
 )
 
+// faultOffset keeps faults apart from timers that fire at round times.
+const faultOffset = 1234567 * time.Nanosecond
+
 // injectFaults makes the trace's faults happen until ctx ends.
 func (r *run) injectFaults(ctx context.Context) {
 	var group sync.WaitGroup
@@ -20,7 +23,7 @@
 func (r *run) repeat(ctx context.Context, f Fault) {
 	at := f.At.D()
 	for at < r.env.Trace.Duration.D() {
-		if !pause(ctx, time.Until(r.env.Start.Add(at))) {
+		if !pause(ctx, time.Until(r.env.Start.Add(at+faultOffset))) {
 			return
 		}
 		r.inject(ctx, f)
--- a/replay/gates.go
+++ b/replay/gates.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"greengagespoke/counters"
 	"greengagespoke/domain"
@@ -15,6 +19,9 @@
 	"greengagespoke/routing"
 )
 
+// loopOffset separates the beginnings of two loops.
+const loopOffset = 137 * time.Microsecond
+
 // Gates is the real policy: a gate and a keeper on each host.
 type Gates struct {
 	// Label names the variant; empty means "greengagespoke".
@@ -34,13 +41,13 @@
 // Start implements Policy.
 func (g Gates) Start(env *Env) Fleet {
 	f := &gateFleet{hosts: make(map[domain.HostID]*gateHost, len(env.Hosts))}
-	for _, h := range env.Hosts {
-		f.hosts[h.ID] = g.startHost(env, h)
+	for n, h := range env.Hosts {
+		f.hosts[h.ID] = g.startHost(env, h, n)
 	}
 	return f
 }
 
-func (g Gates) startHost(env *Env, h Host) *gateHost {
+func (g Gates) startHost(env *Env, h Host, n int) *gateHost {
 	set := counters.NewSet()
 	upstreams := env.Upstreams(h)
 	peers := env.Network.Peers(h.ID, h.Zone)
@@ -58,12 +65,24 @@
 	host.gate = routing.New(routing.Config{
 		Tables: env.Tables, Membership: host.members, Peers: peers, Upstreams: upstreams,
 		Quarantine: strikes, Claims: noClaims{}, Leaving: noLeaving{}, Counters: set,
+		Rand: seededRand(env.Trace.Seed, h),
 	})
 	env.Network.Attach(h.ID, h.Zone, simnet.Handlers{Keeper: host.keeper, Gate: host.gate, Gossip: host.members})
-	host.start()
+	host.start(n)
 	return host
 }
 
+// seededRand returns a random source of a host that repeats.
+func seededRand(seed uint64, h Host) func(n int64) int64 {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(h.ID))))
+	return func(n int64) int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.Int64N(n)
+	}
+}
+
 // gateHost is the gate and the keeper of one host.
 type gateHost struct {
 	gate     *routing.Gate
@@ -74,12 +93,20 @@
 	loops    sync.WaitGroup
 }
 
-func (h *gateHost) start() {
+// start runs the loops of host number n. They begin at different times, so that
+// their timers never fire at one instant.
+func (h *gateHost) start(n int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.loops.Go(func() { _ = h.members.Run(ctx) })
-	h.loops.Go(func() { _ = h.keeper.Run(ctx) })
-	h.loops.Go(func() { _ = h.gate.Run(ctx) })
+	loops := []func(context.Context) error{h.members.Run, h.keeper.Run, h.gate.Run}
+	for i, run := range loops {
+		offset := time.Duration(n*len(loops)+i) * loopOffset
+		h.loops.Go(func() {
+			if pause(ctx, offset) {
+				_ = run(ctx)
+			}
+		})
+	}
 }
 
 func (h *gateHost) stop() {
--- a/standin/engine/fabric.go
+++ b/standin/engine/fabric.go
@@ -104,7 +104,7 @@
 }
 
 // stalledFor returns how long a transfer makes no progress from now on.
-func (f *Fabric) stalledFor(source, target domain.UpstreamID) time.Duration {
+func (f *Fabric) stalledFor(source, target domain.UpstreamID, spread time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -112,7 +112,7 @@
 	for _, s := range f.stalls {
 		matches := (s.Source == "" || s.Source == source) && (s.Target == "" || s.Target == target)
 		if matches && !now.Before(s.From) && now.Before(s.Until) {
-			wait = max(wait, s.Until.Sub(now))
+			wait = max(wait, s.Until.Sub(now)+spread)
 		}
 	}
 	return wait
--- a/standin/engine/transfer.go
+++ b/standin/engine/transfer.go
@@ -2,11 +2,17 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"greengagespoke/domain"
 	"greengagespoke/ports"
 )
 
+// maxStallSpread bounds the extra time of a transfer after a stall.
+const maxStallSpread = time.Millisecond
+
 // Import implements ports.Engine. It takes a slot and memory, then transfers the
 // result over the fabric's links.
 func (e *Engine) Import(ctx context.Context, req ports.ImportRequest) error {
@@ -77,7 +83,7 @@
 		return e.fetch(ctx, req)
 	}
 	stalled := e.errorf(ports.EngineStalled, "the transfer from %s made no progress in time", req.Source)
-	if !sleep(ctx, e.fabric.stalledFor(req.Source, e.cfg.Upstream.ID)) {
+	if !sleep(ctx, e.fabric.stalledFor(req.Source, e.cfg.Upstream.ID, stallSpread(req.Handle))) {
 		return kvCache{}, stalled
 	}
 	kv, err := source.peek(req.Handle)
@@ -103,6 +109,11 @@
 	return kv, nil
 }
 
+// stallSpread keeps transfers that a stall held up from going on at one instant.
+func stallSpread(handle string) time.Duration {
+	return time.Duration(xxhash.Sum64String(handle) % uint64(maxStallSpread))
+}
+
 func (e *Engine) peek(handle string) (kvCache, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
