--- a/replay/main_test.go
+++ b/replay/main_test.go
@@ -17,6 +17,7 @@
 
 var (
 	traceFile   = flag.String("trace-file", "", "trace to replay instead of those in testdata")
+	logs        = flag.Bool("logs", false, "print the log lines of the hosts")
 	policyNames = flag.String("policies", "greengagespoke", "comma-separated policies to run with -trace")
 )
 
@@ -25,7 +26,11 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	klog.LogToStderr(false)
-	klog.SetOutput(io.Discard)
+	if !*logs {
+		klog.SetOutput(io.Discard)
+	} else {
+		klog.SetOutput(os.Stderr)
+	}
 	if file := flag.Lookup("test.trace").Value.String(); isTraceFile(file) {
 		if !filepath.IsAbs(file) {
 			file = filepath.Join(flag.Lookup("test.outputdir").Value.String(), file)
