Do not let a held back request block its caller's queue

Cause: the fair queue offered only the first request of each caller. After a crash the suspects wait for each other at the head, and everything behind them waited too. Change: an entry that is held back for a reason of its own (a suspect, upstreams to avoid, a gate between two calls) lets the caller's next entry go first.

--- a/fairqueue/class.go
+++ b/fairqueue/class.go
@@ -105,7 +105,8 @@
 }
 
 // serve offers the heads of at most maxOffers flows in order of their start
-// tags and takes the first that try accepts.
+// tags, and the entries behind heads that are held back. It takes the first
+// entry that try accepts.
 func (c *classQueue[T]) serve(try func(*Entry[T]) bool) *Entry[T] {
 	c.offered = c.offered[:0]
 	var taken *Entry[T]
@@ -114,9 +115,8 @@
 		if f == nil {
 			break
 		}
-		if try(f.head) {
-			taken = f.head
-			c.take(f)
+		if taken = f.offer(try); taken != nil {
+			c.take(taken)
 			break
 		}
 		c.active.remove(f)
@@ -132,9 +132,26 @@
 	return taken
 }
 
-// take removes the head of a flow and charges its cost to the flow.
-func (c *classQueue[T]) take(f *flow[T]) {
+// offer offers the first entry that is not held back, and those that are before
+// it. It returns the entry that try accepted.
+func (f *flow[T]) offer(try func(*Entry[T]) bool) *Entry[T] {
 	e := f.head
+	for offers := 0; e != nil && offers < maxOffers; offers++ {
+		e.HeldBack = false
+		if try(e) {
+			return e
+		}
+		if !e.HeldBack {
+			return nil
+		}
+		e = e.next
+	}
+	return nil
+}
+
+// take removes an entry and charges its cost to its flow.
+func (c *classQueue[T]) take(e *Entry[T]) {
+	f := e.flow
 	f.finish = e.start() + e.Cost/e.weight()
 	c.maxFinish = max(c.maxFinish, f.finish)
 	c.virtual += e.Cost / c.weight
--- a/fairqueue/flow.go
+++ b/fairqueue/flow.go
@@ -12,6 +12,9 @@
 	Weight float64
 	// Cost is the service that the entry asks for, in units of the user's choice.
 	Cost float64
+	// HeldBack is set while the entry is offered, where it cannot be served for a
+	// reason of its own. The next entry of the caller may then go before it.
+	HeldBack bool
 
 	flow       *flow[T]
 	prev, next *Entry[T]
--- a/keeper/attempts_test.go
+++ b/keeper/attempts_test.go
@@ -126,6 +126,22 @@
 	})
 }
 
+// TestWaitingSuspectDoesNotBlockItsCaller checks that a suspect that waits for
+// another suspect does not keep the caller's later requests from being served.
+func TestWaitingSuspectDoesNotBlockItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{3, 2, 4, 100}, nil)
+		defer b.start(t, b.keeper)()
+		for i := range 4 {
+			req := place("a", fmt.Sprint(i), 1)
+			req.Suspect = true
+			go func() { _, _ = b.keeper.Acquire(t.Context(), testGroup, req) }()
+			synctest.Wait()
+		}
+		mustAcquireInTime(t, b.keeper, place("a", "innocent", 1), time.Second)
+	})
+}
+
 func TestLargeRequestIsNotStarved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(size{1, 1, 4, 8}, nil)
--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -115,6 +115,7 @@
 func (g *group) try(e *fairqueue.Entry[*waiter], now time.Time) bool {
 	w := e.Value
 	if w.calls == 0 || w.blockers > 0 {
+		e.HeldBack = true
 		return false
 	}
 	if refusal := g.refreshSuspicion(w); refusal != nil {
@@ -122,10 +123,12 @@
 		return false
 	}
 	if g.mustWait(w) {
+		e.HeldBack = true
 		return false
 	}
 	pair, ok := g.decide(w)
 	if !ok {
+		e.HeldBack = w.req.Suspect || len(w.req.Avoid) > 0
 		g.reserve(w)
 		return false
 	}
