--- /dev/null
+++ b/adapters/gatehttp/service.go
@@ -0,0 +1,61 @@
+package gatehttp
+
+import (
+	"io"
+	"net/http"
+
+	"greengagespoke/domain"
+	"greengagespoke/ports"
+	"greengagespoke/routing"
+)
+
+// HeaderIdempotencyKey names a non-idempotent call, so that it runs at most once
+// however often it is sent.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// forwardedHeaders are the request headers that plain services receive.
+var forwardedHeaders = []string{"Accept", "Accept-Language", "Content-Type", HeaderIdempotencyKey, HeaderRequestID}
+
+// service sends a call to the plain service whose route matches the path.
+func (s *server) service(w http.ResponseWriter, r *http.Request, caller domain.CallerID) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	resp, err := s.cfg.Gate.CallService(r.Context(), routing.ServiceCall{
+		Caller:         caller,
+		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+		Request: ports.ServiceRequest{
+			Method: r.Method,
+			Path:   r.URL.Path,
+			Query:  r.URL.RawQuery,
+			Header: serviceHeader(r, caller),
+			Body:   body,
+		},
+	})
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeServiceResponse(w, resp)
+}
+
+func serviceHeader(r *http.Request, caller domain.CallerID) http.Header {
+	h := make(http.Header)
+	for _, name := range forwardedHeaders {
+		if values := r.Header.Values(name); len(values) > 0 {
+			h[http.CanonicalHeaderKey(name)] = values
+		}
+	}
+	h.Set(HeaderCaller, string(caller))
+	return h
+}
+
+func writeServiceResponse(w http.ResponseWriter, resp ports.ServiceResponse) {
+	for name, values := range resp.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(resp.Status)
+	_, _ = w.Write(resp.Body)
+}
