--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,223 @@
+// Package host puts the decisions of one entry host together: table follower,
+// membership, keeper, gate and what they need. It uses ports only, so that tests
+// run many hosts in one process under virtual time.
+package host
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"greengagespoke/claims"
+	"greengagespoke/counters"
+	"greengagespoke/domain"
+	"greengagespoke/entrypoints"
+	"greengagespoke/groups"
+	"greengagespoke/hostwatch"
+	"greengagespoke/keeper"
+	"greengagespoke/membership"
+	"greengagespoke/orders"
+	"greengagespoke/ports"
+	"greengagespoke/quarantine"
+	"greengagespoke/routing"
+	"greengagespoke/storeguard"
+	"greengagespoke/tables"
+)
+
+// Local is the part of a host that its peers call.
+type Local struct {
+	Keeper     ports.Keeper
+	Gossip     ports.Gossip
+	Tables     ports.TablePeer
+	Gate       ports.GatePeer
+	Membership ports.Membership
+}
+
+// Config holds what a host works with.
+type Config struct {
+	Self      domain.Member
+	Store     ports.TableService
+	Objects   ports.ObjectStore
+	HostList  ports.HostList
+	Upstreams ports.Upstreams
+	Clock     ports.Clock
+	Counters  *counters.Set
+	// MakePeers returns the access to other hosts, given what this host serves.
+	MakePeers func(Local) ports.Peers
+	// Scope is the scope of upstream groups; empty means groups.ScopeRegion.
+	Scope groups.Scope
+	// KeeperPolicy decides when places are promised; nil means the default.
+	KeeperPolicy keeper.Policy
+	// Seed makes random choices repeatable in tests.
+	Seed uint64
+	// EntryPointsMaxAge is how long callers may keep an entry points answer.
+	EntryPointsMaxAge time.Duration
+	// DrainMargin is added to EntryPointsMaxAge before a stopping host refuses
+	// new work.
+	DrainMargin time.Duration
+	// TablePoll is the mean time between polls of the table revision.
+	TablePoll time.Duration
+	// HostListPoll is the mean time between polls of the host list.
+	HostListPoll time.Duration
+}
+
+// revisionInterval is how often the applied revision is handed to membership.
+const revisionInterval = 200 * time.Millisecond
+
+// Host is one entry host.
+type Host struct {
+	cfg        Config
+	Gate       *routing.Gate
+	Keeper     *keeper.Keeper
+	Membership *membership.Membership
+	Tables     *tables.Follower
+	Quarantine *quarantine.List
+	watch      *hostwatch.Watch
+	orders     *orders.Controller
+	refusing   atomic.Bool
+}
+
+// latePeers gives access to peers that are made after the parts that use them.
+type latePeers struct {
+	ports.Peers
+}
+
+// New returns a host. It does nothing before Run.
+func New(cfg Config) *Host {
+	h := &Host{cfg: cfg}
+	peers := new(latePeers)
+	store := storeguard.New(storeguard.Config{Store: cfg.Store, Counters: cfg.Counters})
+	h.watch = hostwatch.New(cfg.HostList, cfg.HostListPoll, cfg.Counters)
+	h.Quarantine = quarantine.New(quarantine.Config{Counters: cfg.Counters})
+	h.Membership = membership.New(membership.Config{
+		Self:       cfg.Self,
+		HostList:   h.watch,
+		Counters:   cfg.Counters,
+		Seed:       cfg.Seed,
+		OnRevision: func(host domain.HostID, rev domain.Revision) { h.Tables.Notice(host, rev) },
+		Strikes:    h.Quarantine,
+	})
+	h.Tables = tables.NewFollower(tables.FollowerConfig{
+		Store:        store,
+		Peers:        peers,
+		Membership:   h.Membership,
+		Counters:     cfg.Counters,
+		PollInterval: cfg.TablePoll,
+	})
+	h.Keeper = keeper.New(keeper.Config{
+		Self:       cfg.Self.ID,
+		Zone:       cfg.Self.Zone,
+		Tables:     h.Tables,
+		Membership: h.Membership,
+		Upstreams:  cfg.Upstreams,
+		HostList:   h.watch,
+		Counters:   cfg.Counters,
+		Policy:     cfg.KeeperPolicy,
+		GatePeers:  peers,
+		Scope:      cfg.Scope,
+	})
+	h.Gate = h.newGate(peers, store)
+	h.orders = orders.New(orders.Config{
+		Self:       cfg.Self.ID,
+		Zone:       cfg.Self.Zone,
+		Store:      store,
+		Tables:     h.Tables,
+		Membership: h.Membership,
+		Upstreams:  cfg.Upstreams,
+		HostList:   h.watch,
+		Clock:      cfg.Clock,
+		Counters:   cfg.Counters,
+	})
+	peers.Peers = cfg.MakePeers(Local{
+		Keeper:     h.Keeper,
+		Gossip:     h.Membership,
+		Tables:     h.Tables,
+		Gate:       h.Gate,
+		Membership: h.Membership,
+	})
+	h.Membership.Bind(peers.Peers)
+	return h
+}
+
+func (h *Host) newGate(peers ports.Peers, store ports.TableService) *routing.Gate {
+	return routing.New(routing.Config{
+		Tables:     h.Tables,
+		Membership: h.Membership,
+		Peers:      peers,
+		Upstreams:  h.cfg.Upstreams,
+		Quarantine: h.Quarantine,
+		Claims: claimsAdapter{claims.New(claims.Config{
+			Store:    store,
+			Objects:  h.cfg.Objects,
+			Host:     h.cfg.Self.ID,
+			Clock:    h.cfg.Clock,
+			Counters: h.cfg.Counters,
+		})},
+		Leaving:  h.watch,
+		Counters: h.cfg.Counters,
+		Scope:    h.cfg.Scope,
+	})
+}
+
+// claimsAdapter gives a Claimer the form that the gate asks for.
+type claimsAdapter struct {
+	claimer *claims.Claimer
+}
+
+// Execute implements routing.Claims.
+func (a claimsAdapter) Execute(ctx context.Context, caller domain.CallerID, key string, digest uint64, send routing.SendFunc) (ports.ServiceResponse, error) {
+	return a.claimer.Execute(ctx, claims.Call{Caller: caller, Key: key, Digest: digest}, send)
+}
+
+// Run runs the host's loops until ctx is done. A planned stop calls Leave first.
+func (h *Host) Run(ctx context.Context) error {
+	defer h.Gate.Close()
+	loops, ctx := errgroup.WithContext(ctx)
+	for _, run := range []func(context.Context) error{
+		h.watch.Run, h.Membership.Run, h.Tables.Run, h.Keeper.Run, h.Gate.Run, h.orders.Run, h.announceRevision,
+	} {
+		loops.Go(func() error { return run(ctx) })
+	}
+	return loops.Wait()
+}
+
+// announceRevision hands the applied revision to membership, which spreads it.
+func (h *Host) announceRevision(ctx context.Context) error {
+	ticker := time.NewTicker(revisionInterval)
+	defer ticker.Stop()
+	for {
+		h.Membership.SetRevision(h.Tables.Revision())
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Refusing reports whether the host refuses new work because it stops.
+func (h *Host) Refusing() bool { return h.refusing.Load() }
+
+// EntryPoints answers which addresses a caller should use.
+func (h *Host) EntryPoints(req entrypoints.Request) entrypoints.Answer {
+	return entrypoints.Select(req, h.Membership.Members(), entrypoints.Config{MaxAge: h.cfg.EntryPointsMaxAge})
+}
+
+// Leave makes a planned stop: it announces that the host is leaving, hands the
+// keeper's groups over, keeps accepting work for as long as callers may still
+// use the address, then refuses new work and waits for every request in flight.
+func (h *Host) Leave(ctx context.Context) error {
+	h.Membership.Leave()
+	h.Keeper.Handover(ctx)
+	timer := time.NewTimer(h.cfg.EntryPointsMaxAge + h.cfg.DrainMargin)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	h.refusing.Store(true)
+	return h.Gate.Drain(ctx)
+}
