--- a/adapters/gatehttp/server.go
+++ b/adapters/gatehttp/server.go
@@ -11,6 +11,7 @@
 	"greengagespoke/entrypoints"
 	"greengagespoke/ports"
 	"greengagespoke/routing"
+	"greengagespoke/tables"
 )
 
 // DefaultMaxBody is the largest request body in bytes that is read.
@@ -32,7 +33,7 @@
 	// Ready reports whether the host has tables.
 	Ready func() bool
 	// Unreadable lists table rows that could not be decoded.
-	Unreadable func() []string
+	Unreadable func() []tables.UnreadableRow
 	// Refusing reports whether a stopping host refuses new work.
 	Refusing func() bool
 	// MaxBody is the largest request body in bytes; zero means DefaultMaxBody.
@@ -90,10 +91,19 @@
 		}
 		if s.cfg.Refusing() {
 			writeRefusal(w, domain.Refuse(domain.RefusalLeaving, "this host is stopping",
-				"ask for the entry points again and use another address"))
+				"ask for the entry points again and use another address").WithRan(ranBefore(r)))
 			return
 		}
 		r.Body = http.MaxBytesReader(w, r.Body, s.cfg.MaxBody)
 		next(w, r, caller)
 	}
 }
+
+// ranBefore says what a host knows about a request that it refuses unseen: a
+// resend may have run elsewhere.
+func ranBefore(r *http.Request) domain.Ran {
+	if attempt, err := positiveHeader(r, HeaderRequestAttempt, 1); err == nil && attempt > 1 {
+		return domain.RanUnknown
+	}
+	return domain.RanNo
+}
--- a/adapters/gatehttp/service.go
+++ b/adapters/gatehttp/service.go
@@ -23,9 +23,15 @@
 		writeError(w, err)
 		return
 	}
+	attempt, err := positiveHeader(r, HeaderRequestAttempt, 1)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
 	resp, err := s.cfg.Gate.CallService(r.Context(), routing.ServiceCall{
 		Caller:         caller,
 		IdempotencyKey: r.Header.Get(HeaderIdempotencyKey),
+		Attempt:        attempt,
 		Request: ports.ServiceRequest{
 			Method: r.Method,
 			Path:   r.URL.Path,
--- a/adapters/gatehttp/status.go
+++ b/adapters/gatehttp/status.go
@@ -6,6 +6,7 @@
 
 	"greengagespoke/domain"
 	"greengagespoke/entrypoints"
+	"greengagespoke/tables"
 )
 
 func (s *server) health(w http.ResponseWriter, _ *http.Request) {
@@ -41,8 +42,8 @@
 	Leaving  bool            `json:"leaving"`
 	InFlight int             `json:"in_flight"`
 	// Unreadable lists table rows that keep their last good value.
-	Unreadable []string        `json:"unreadable,omitempty"`
-	Members    []domain.Member `json:"members"`
+	Unreadable []tables.UnreadableRow `json:"unreadable,omitempty"`
+	Members    []domain.Member        `json:"members"`
 }
 
 func (s *server) status(w http.ResponseWriter, _ *http.Request) {
--- a/routing/config.go
+++ b/routing/config.go
@@ -32,7 +32,7 @@
 	// Cancel bounds one cancel call. Default 1 s.
 	Cancel time.Duration
 	// CancelGiveUp is how long cancels are repeated before the keeper's listing
-	// is left to free the memory. Default 30 s.
+	// is left to free the memory. Default 8 s, longer than the term of a grant.
 	CancelGiveUp time.Duration
 }
 
@@ -44,7 +44,7 @@
 	setDefault(&t.KeeperRetry, 100*time.Millisecond)
 	setDefault(&t.KeeperLoss, 3*time.Second)
 	setDefault(&t.Cancel, time.Second)
-	setDefault(&t.CancelGiveUp, 30*time.Second)
+	setDefault(&t.CancelGiveUp, 8*time.Second)
 	return t
 }
 
--- a/routing/flight.go
+++ b/routing/flight.go
@@ -134,7 +134,8 @@
 	switch {
 	case f.sequence.delivered() > f.c.DeliveredTokens:
 		return domain.RanYes
-	case f.started:
+	case f.started || f.c.Attempt > 1:
+		// An earlier send may have run elsewhere.
 		return domain.RanUnknown
 	default:
 		return domain.RanNo
--- a/routing/service.go
+++ b/routing/service.go
@@ -29,7 +29,9 @@
 	Caller domain.CallerID
 	// IdempotencyKey is the caller's key, or empty.
 	IdempotencyKey string
-	Request        ports.ServiceRequest
+	// Attempt is 1 for a first send and larger for a resend under the same key.
+	Attempt int
+	Request ports.ServiceRequest
 }
 
 // CallService sends a call to an upstream of the route that matches its path.
@@ -93,11 +95,21 @@
 		resp, err = g.cfg.Claims.Execute(ctx, call.Caller, call.IdempotencyKey, callDigest(call.Request), send)
 	}
 	if err != nil {
-		return resp, serviceRefusal(err)
+		return resp, resendRefusal(call, serviceRefusal(err))
 	}
 	return resp, nil
 }
 
+// resendRefusal corrects the refusal of a resend that was refused without a look
+// at the claim: an earlier send may have run.
+func resendRefusal(call ServiceCall, err error) error {
+	refusal, ok := domain.AsRefusal(err)
+	if ok && call.Attempt > 1 && refusal.Kind == domain.RefusalStoreDown {
+		refusal.Ran = domain.RanUnknown
+	}
+	return err
+}
+
 // callDigest covers the content of a call.
 func callDigest(req ports.ServiceRequest) uint64 {
 	d := xxhash.New()
