Run a whole deployment in one process: host, daemon, demo, fault tests

Cause: the parts were tested apart only. Change: package host composes the decisions over ports; entry connects them to sockets by settings; demo runs stand-ins, hosts and a load on loopback; internal/fleet runs hosts, platform and upstreams under virtual time for fault tests; the program gets 'entry' and 'demo'.

--- a/adapters/cli/cli.go
+++ b/adapters/cli/cli.go
@@ -34,10 +34,12 @@
 // commands returns all subcommands.
 func commands() []*command {
 	return []*command{
+		entryCommand(),
 		tablesCommand(),
 		entrypointsCommand(),
 		callCommand(),
 		standinCommand(),
+		demoCommand(),
 		settingsCommand(),
 		versionCommand(),
 	}
--- a/demo/tally.go
+++ b/demo/tally.go
@@ -70,8 +70,9 @@
 // came twice counts as answered twice, a missing part as lost.
 func (t *tally) checkText(req modelRequest, r completionResult) {
 	want := 0
+	answer := engine.AnswerTo(req.prompt)
 	for n := 1; n <= r.tokens; n++ {
-		want += len(engine.TokenText(req.prompt, n))
+		want += len(answer.Token(n))
 	}
 	switch {
 	case len(r.text) > want:
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -68,7 +68,7 @@
 	set := counters.NewSet()
 	h := host.New(host.Config{
 		Self:              self(s),
-		Store:             platform,
+		Store:             platform.Tables(),
 		Objects:           platform.Objects(),
 		HostList:          platform.Hosts(),
 		Upstreams:         upstreams.New(),
@@ -79,6 +79,8 @@
 		DrainMargin:       s.Timings.DrainMargin.D(),
 		TablePoll:         s.Timings.TablePoll.D(),
 		HostListPoll:      s.Timings.HostListPoll.D(),
+
+		StoreWritesPerSecond: s.Limits.StoreWritesPerSecond,
 	})
 	d := &Daemon{settings: s, host: h}
 	callers, err := callerServer(s, h, set)
@@ -121,6 +123,7 @@
 		<-ctx.Done()
 		klog.Infof("host %s is leaving", d.settings.Host.ID)
 		err := d.host.Leave(context.WithoutCancel(ctx))
+		klog.Infof("host %s has drained", d.settings.Host.ID)
 		stopLoops()
 		return firstError(err, d.app.Stop())
 	})
@@ -155,7 +158,7 @@
 		Tables:      h.Tables,
 		Counters:    set,
 		Ready:       h.Tables.Ready,
-		Unreadable:  h.Unreadable,
+		Unreadable:  h.Tables.Unreadable,
 		Refusing:    h.Refusing,
 		MaxBody:     s.Limits.MaxBodyBytes,
 	}), nil
--- a/host/host.go
+++ b/host/host.go
@@ -18,7 +18,6 @@
 	"greengagespoke/hostwatch"
 	"greengagespoke/keeper"
 	"greengagespoke/membership"
-	"greengagespoke/orders"
 	"greengagespoke/ports"
 	"greengagespoke/quarantine"
 	"greengagespoke/routing"
@@ -59,6 +58,9 @@
 	DrainMargin time.Duration
 	// TablePoll is the mean time between polls of the table revision.
 	TablePoll time.Duration
+	// StoreWritesPerSecond is the table service's limit for all hosts together;
+	// zero means the default.
+	StoreWritesPerSecond int
 	// HostListPoll is the mean time between polls of the host list.
 	HostListPoll time.Duration
 }
@@ -75,7 +77,6 @@
 	Tables     *tables.Follower
 	Quarantine *quarantine.List
 	watch      *hostwatch.Watch
-	orders     *orders.Controller
 	refusing   atomic.Bool
 }
 
@@ -88,7 +89,6 @@
 func New(cfg Config) *Host {
 	h := &Host{cfg: cfg}
 	peers := new(latePeers)
-	store := storeguard.New(storeguard.Config{Store: cfg.Store, Counters: cfg.Counters})
 	h.watch = hostwatch.New(cfg.HostList, cfg.HostListPoll, cfg.Counters)
 	h.Quarantine = quarantine.New(quarantine.Config{Counters: cfg.Counters})
 	h.Membership = membership.New(membership.Config{
@@ -99,6 +99,14 @@
 		OnRevision: func(host domain.HostID, rev domain.Revision) { h.Tables.Notice(host, rev) },
 		Strikes:    h.Quarantine,
 	})
+	guard := storeguard.New(storeguard.Config{
+		Tables:          cfg.Store,
+		Objects:         cfg.Objects,
+		WritesPerSecond: cfg.StoreWritesPerSecond,
+		Hosts:           h.knownHosts,
+		Counters:        cfg.Counters,
+	})
+	store := guard.Tables()
 	h.Tables = tables.NewFollower(tables.FollowerConfig{
 		Store:        store,
 		Peers:        peers,
@@ -116,20 +124,10 @@
 		Counters:   cfg.Counters,
 		Policy:     cfg.KeeperPolicy,
 		GatePeers:  peers,
+		Quarantine: h.Quarantine,
 		Scope:      cfg.Scope,
 	})
-	h.Gate = h.newGate(peers, store)
-	h.orders = orders.New(orders.Config{
-		Self:       cfg.Self.ID,
-		Zone:       cfg.Self.Zone,
-		Store:      store,
-		Tables:     h.Tables,
-		Membership: h.Membership,
-		Upstreams:  cfg.Upstreams,
-		HostList:   h.watch,
-		Clock:      cfg.Clock,
-		Counters:   cfg.Counters,
-	})
+	h.Gate = h.newGate(peers, guard)
 	peers.Peers = cfg.MakePeers(Local{
 		Keeper:     h.Keeper,
 		Gossip:     h.Membership,
@@ -141,48 +139,41 @@
 	return h
 }
 
-func (h *Host) newGate(peers ports.Peers, store ports.TableService) *routing.Gate {
+func (h *Host) newGate(peers ports.Peers, guard *storeguard.Guard) *routing.Gate {
 	return routing.New(routing.Config{
 		Tables:     h.Tables,
 		Membership: h.Membership,
 		Peers:      peers,
 		Upstreams:  h.cfg.Upstreams,
 		Quarantine: h.Quarantine,
-		Claims: claimsAdapter{claims.New(claims.Config{
-			Store:    store,
-			Objects:  h.cfg.Objects,
+		Claims: claims.New(claims.Config{
+			Store:    guard.Tables(),
+			Objects:  guard.Objects(),
 			Host:     h.cfg.Self.ID,
 			Clock:    h.cfg.Clock,
 			Counters: h.cfg.Counters,
-		})},
+		}),
 		Leaving:  h.watch,
 		Counters: h.cfg.Counters,
 		Scope:    h.cfg.Scope,
 	})
 }
 
-// claimsAdapter gives a Claimer the form that the gate asks for.
-type claimsAdapter struct {
-	claimer *claims.Claimer
-}
-
-// Execute implements routing.Claims.
-func (a claimsAdapter) Execute(ctx context.Context, caller domain.CallerID, key string, digest uint64, send routing.SendFunc) (ports.ServiceResponse, error) {
-	return a.claimer.Execute(ctx, claims.Call{Caller: caller, Key: key, Digest: digest}, send)
-}
-
 // Run runs the host's loops until ctx is done. A planned stop calls Leave first.
 func (h *Host) Run(ctx context.Context) error {
 	defer h.Gate.Close()
 	loops, ctx := errgroup.WithContext(ctx)
 	for _, run := range []func(context.Context) error{
-		h.watch.Run, h.Membership.Run, h.Tables.Run, h.Keeper.Run, h.Gate.Run, h.orders.Run, h.announceRevision,
+		h.watch.Run, h.Membership.Run, h.Tables.Run, h.Keeper.Run, h.Gate.Run, h.announceRevision,
 	} {
 		loops.Go(func() error { return run(ctx) })
 	}
 	return loops.Wait()
 }
 
+// knownHosts returns the number of hosts that share the store's limits.
+func (h *Host) knownHosts() int { return len(h.Membership.Members()) }
+
 // announceRevision hands the applied revision to membership, which spreads it.
 func (h *Host) announceRevision(ctx context.Context) error {
 	ticker := time.NewTicker(revisionInterval)
@@ -210,7 +201,9 @@
 // use the address, then refuses new work and waits for every request in flight.
 func (h *Host) Leave(ctx context.Context) error {
 	h.Membership.Leave()
-	h.Keeper.Handover(ctx)
+	if err := h.Keeper.Handover(ctx); err != nil {
+		return err
+	}
 	timer := time.NewTimer(h.cfg.EntryPointsMaxAge + h.cfg.DrainMargin)
 	defer timer.Stop()
 	select {
--- a/replay/gates.go
+++ b/replay/gates.go
@@ -5,6 +5,7 @@
 	"errors"
 	"sync"
 
+	"greengagespoke/claims"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
 	"greengagespoke/internal/simnet"
@@ -106,7 +107,7 @@
 var errNoClaims = errors.New("traces hold no service calls")
 
 // Execute implements routing.Claims.
-func (noClaims) Execute(context.Context, domain.CallerID, string, uint64, routing.SendFunc) (ports.ServiceResponse, error) {
+func (noClaims) Execute(context.Context, claims.Call, claims.Sender) (ports.ServiceResponse, error) {
 	return ports.ServiceResponse{}, errNoClaims
 }
 
--- a/routing/config.go
+++ b/routing/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"greengagespoke/claims"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
 	"greengagespoke/groups"
@@ -66,9 +67,6 @@
 	Finished(fingerprint uint64)
 }
 
-// SendFunc sends a call to an upstream once.
-type SendFunc func(ctx context.Context) (ports.ServiceResponse, error)
-
 // Leaving knows which upstreams are about to stop.
 type Leaving interface {
 	Leaving(id domain.UpstreamID) bool
@@ -76,9 +74,8 @@
 
 // Claims executes non-idempotent calls at most once.
 type Claims interface {
-	// Execute runs send unless the call already ran. The digest covers the call's
-	// content, so that one key cannot stand for two calls.
-	Execute(ctx context.Context, caller domain.CallerID, key string, digest uint64, send SendFunc) (ports.ServiceResponse, error)
+	// Execute runs send unless the call already ran.
+	Execute(ctx context.Context, call claims.Call, send claims.Sender) (ports.ServiceResponse, error)
 }
 
 // Config holds what a gate works with. All fields but Timing and Scope are
--- a/routing/fakes_test.go
+++ b/routing/fakes_test.go
@@ -267,7 +267,7 @@
 		t.Fatalf("%d frames were delivered, want %d", len(a.frames), tokens)
 	}
 	for i, f := range a.frames {
-		if f.Number != i+1 || f.Text != engine.TokenText(testPrompt, i+1) {
+		if f.Number != i+1 || f.Text != engine.AnswerTo(testPrompt).Token(i+1) {
 			t.Fatalf("frame %d has number %d and text %q", i+1, f.Number, f.Text)
 		}
 	}
--- a/routing/gate_test.go
+++ b/routing/gate_test.go
@@ -176,7 +176,7 @@
 		c := request("r1", 2)
 		c.DeliveredTokens = 10
 		for n := 1; n <= c.DeliveredTokens; n++ {
-			c.Delivered += engine.TokenText(testPrompt, n)
+			c.Delivered += engine.AnswerTo(testPrompt).Token(n)
 		}
 		var a answer
 		if err := r.gate.Complete(t.Context(), c, a.deliver); err != nil {
--- a/routing/service.go
+++ b/routing/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"greengagespoke/claims"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
 	"greengagespoke/ports"
@@ -83,7 +84,7 @@
 	send := func(ctx context.Context) (ports.ServiceResponse, error) {
 		up, ok := g.pickService(route.Pool, nil)
 		if !ok {
-			return ports.ServiceResponse{}, &ports.ServiceError{Message: "no upstream of pool " + string(route.Pool) + " is in service"}
+			return ports.ServiceResponse{}, noService(route.Pool)
 		}
 		return g.cfg.Upstreams.Service(up).Call(ctx, call.Request)
 	}
@@ -92,22 +93,23 @@
 	if call.IdempotencyKey == "" {
 		resp, err = send(ctx)
 	} else {
-		resp, err = g.cfg.Claims.Execute(ctx, call.Caller, call.IdempotencyKey, callDigest(call.Request), send)
+		resp, err = g.cfg.Claims.Execute(ctx, claims.Call{
+			Caller:  call.Caller,
+			Key:     call.IdempotencyKey,
+			Digest:  callDigest(call.Request),
+			Attempt: call.Attempt,
+		}, send)
 	}
 	if err != nil {
-		return resp, resendRefusal(call, serviceRefusal(err))
+		return resp, serviceRefusal(err)
 	}
 	return resp, nil
 }
 
-// resendRefusal corrects the refusal of a resend that was refused without a look
-// at the claim: an earlier send may have run.
-func resendRefusal(call ServiceCall, err error) error {
-	refusal, ok := domain.AsRefusal(err)
-	if ok && call.Attempt > 1 && refusal.Kind == domain.RefusalStoreDown {
-		refusal.Ran = domain.RanUnknown
-	}
-	return err
+// noService refuses a call for which no upstream is left.
+func noService(pool domain.PoolName) *domain.Refusal {
+	return domain.Refuse(domain.RefusalNoUpstream, "no upstream of pool "+string(pool)+" is in service",
+		"retry later").After(time.Second)
 }
 
 // callDigest covers the content of a call.
@@ -129,8 +131,7 @@
 	for try := 1; ; try++ {
 		up, ok := g.pickService(route.Pool, avoid)
 		if !ok {
-			return ports.ServiceResponse{}, domain.Refuse(domain.RefusalNoUpstream,
-				"no upstream of pool "+string(route.Pool)+" is in service", "retry later").After(time.Second)
+			return ports.ServiceResponse{}, noService(route.Pool)
 		}
 		resp, err := g.cfg.Upstreams.Service(up).Call(ctx, call.Request)
 		if err == nil {
