Ask for entry points in the form that hosts answer in; carry fingerprints between hosts

Cause: the client read another form of the answer than the hosts give, and the fingerprint of a request was lost between hosts (found by the round-trip test). Change: one type for the answer; the conversions carry the field. Conclusion: the round-trip test and the client's tests pass.

--- a/adapters/cli/entrypoints.go
+++ b/adapters/cli/entrypoints.go
@@ -31,10 +31,10 @@
 			if asJSON {
 				return json.NewEncoder(streams.Out).Encode(answer)
 			}
-			for _, p := range answer.EntryPoints {
+			for _, p := range answer.Addresses {
 				printf(streams.Out, "%s\t%s\t%s\n", p.Address, p.Host, p.Zone)
 			}
-			printf(streams.Out, "keep for %d s\n", answer.MaxAgeSeconds)
+			printf(streams.Out, "keep for %s\n", answer.MaxAge.D())
 			return nil
 		},
 	}
--- a/adapters/gateclient/client_test.go
+++ b/adapters/gateclient/client_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"greengagespoke/domain"
+	"greengagespoke/entrypoints"
 )
 
 // fakeHost answers entry point requests with its own address twice and
@@ -22,7 +23,7 @@
 	var address string
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/entrypoints", func(w http.ResponseWriter, _ *http.Request) {
-		answer := EntryPoints{EntryPoints: []EntryPoint{{Address: address}, {Address: address}}, MaxAgeSeconds: 10}
+		answer := entrypoints.Answer{Addresses: []entrypoints.Address{{Address: address}, {Address: address}}}
 		_ = json.NewEncoder(w).Encode(answer)
 	})
 	mux.HandleFunc("/", handle)
--- a/adapters/gateclient/entrypoints.go
+++ b/adapters/gateclient/entrypoints.go
@@ -6,25 +6,12 @@
 	"net/url"
 
 	"greengagespoke/domain"
+	"greengagespoke/entrypoints"
 )
 
-// EntryPoint is one address to use.
-type EntryPoint struct {
-	Host    domain.HostID `json:"host"`
-	Zone    domain.Zone   `json:"zone"`
-	Address string        `json:"address"`
-}
-
-// EntryPoints is a host's answer to which addresses to use, best first.
-type EntryPoints struct {
-	EntryPoints []EntryPoint `json:"entrypoints"`
-	// MaxAgeSeconds is how long the answer may be kept.
-	MaxAgeSeconds int `json:"max_age_seconds"`
-}
-
 // EntryPoints asks the configured hosts, one after the other, which addresses to
 // use.
-func (c *Client) EntryPoints(ctx context.Context) (EntryPoints, error) {
+func (c *Client) EntryPoints(ctx context.Context) (entrypoints.Answer, error) {
 	answer, _, err := c.entryPoints(ctx)
 	return answer, err
 }
@@ -33,7 +20,7 @@
 var errNoHosts = errors.New("no entry host is known; name one as IP:PORT")
 
 // entryPoints also returns the host that answered.
-func (c *Client) entryPoints(ctx context.Context) (EntryPoints, string, error) {
+func (c *Client) entryPoints(ctx context.Context) (entrypoints.Answer, string, error) {
 	query := make(url.Values)
 	if c.cfg.Zone != "" {
 		query.Set("zone", string(c.cfg.Zone))
@@ -43,13 +30,13 @@
 	}
 	err := errNoHosts
 	for _, host := range c.cfg.Hosts {
-		var answer EntryPoints
+		var answer entrypoints.Answer
 		err = c.getJSON(ctx, baseURL(host), "/v1/entrypoints?"+query.Encode(), &answer)
 		if err == nil {
 			return answer, host, nil
 		}
 	}
-	return EntryPoints{}, "", err
+	return entrypoints.Answer{}, "", err
 }
 
 // addresses returns the base URLs to use, best first.
@@ -59,7 +46,7 @@
 		return nil, err
 	}
 	var out []string
-	for _, p := range answer.EntryPoints {
+	for _, p := range answer.Addresses {
 		out = append(out, beside(host, p.Address))
 	}
 	if len(out) == 0 {
--- a/adapters/peerrpc/convert_keeper.go
+++ b/adapters/peerrpc/convert_keeper.go
@@ -52,6 +52,7 @@
 		MaxWaiting:       int32(p.MaxWaiting),
 		Avoid:            mapSlice(p.Avoid, func(id domain.UpstreamID) string { return string(id) }),
 		Suspect:          p.Suspect,
+		Fingerprint:      p.Fingerprint,
 	}
 }
 
@@ -72,6 +73,7 @@
 		MaxWaiting:     int(p.GetMaxWaiting()),
 		Avoid:          mapSlice(p.GetAvoid(), func(id string) domain.UpstreamID { return domain.UpstreamID(id) }),
 		Suspect:        p.GetSuspect(),
+		Fingerprint:    p.GetFingerprint(),
 	}
 }
 
@@ -89,6 +91,7 @@
 		TermNs:         int64(g.Term),
 		DecodeInNs:     int64(g.DecodeIn),
 		Suspect:        g.Suspect,
+		Fingerprint:    g.Fingerprint,
 	}
 }
 
@@ -106,6 +109,7 @@
 		Term:           time.Duration(g.GetTermNs()),
 		DecodeIn:       time.Duration(g.GetDecodeInNs()),
 		Suspect:        g.GetSuspect(),
+		Fingerprint:    g.GetFingerprint(),
 	}
 }
 
