--- a/routing/service.go
+++ b/routing/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"greengagespoke/claims"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
 	"greengagespoke/ports"
@@ -28,7 +29,9 @@
 	Caller domain.CallerID
 	// IdempotencyKey is the caller's key, or empty.
 	IdempotencyKey string
-	Request        ports.ServiceRequest
+	// Attempt is 1 for a first send and larger for a resend under the same key.
+	Attempt int
+	Request ports.ServiceRequest
 }
 
 // CallService sends a call to an upstream of the route that matches its path.
@@ -80,7 +83,7 @@
 	send := func(ctx context.Context) (ports.ServiceResponse, error) {
 		up, ok := g.pickService(route.Pool, nil)
 		if !ok {
-			return ports.ServiceResponse{}, &ports.ServiceError{Message: "no upstream of pool " + string(route.Pool) + " is in service"}
+			return ports.ServiceResponse{}, noService(route.Pool)
 		}
 		return g.cfg.Upstreams.Service(up).Call(ctx, call.Request)
 	}
@@ -89,7 +92,12 @@
 	if call.IdempotencyKey == "" {
 		resp, err = send(ctx)
 	} else {
-		resp, err = g.cfg.Claims.Execute(ctx, call.Caller, call.IdempotencyKey, callDigest(call.Request), send)
+		resp, err = g.cfg.Claims.Execute(ctx, claims.Call{
+			Caller:  call.Caller,
+			Key:     call.IdempotencyKey,
+			Digest:  callDigest(call.Request),
+			Attempt: call.Attempt,
+		}, send)
 	}
 	if err != nil {
 		return resp, serviceRefusal(err)
@@ -97,6 +105,12 @@
 	return resp, nil
 }
 
+// noService refuses a call for which no upstream is left.
+func noService(pool domain.PoolName) *domain.Refusal {
+	return domain.Refuse(domain.RefusalNoUpstream, "no upstream of pool "+string(pool)+" is in service",
+		"retry later").After(time.Second)
+}
+
 // callDigest covers the content of a call.
 func callDigest(req ports.ServiceRequest) uint64 {
 	d := xxhash.New()
@@ -116,8 +130,7 @@
 	for try := 1; ; try++ {
 		up, ok := g.pickService(route.Pool, avoid)
 		if !ok {
-			return ports.ServiceResponse{}, domain.Refuse(domain.RefusalNoUpstream,
-				"no upstream of pool "+string(route.Pool)+" is in service", "retry later").After(time.Second)
+			return ports.ServiceResponse{}, noService(route.Pool)
 		}
 		resp, err := g.cfg.Upstreams.Service(up).Call(ctx, call.Request)
 		if err == nil {
