Give the last try of a transfer all that is left of the result's life

Cause: after a stall the second try had only half of the remaining time, about 200 ms, so that a stall of 600 ms lost results that live for 800 ms.

--- a/replay/main_test.go
+++ b/replay/main_test.go
@@ -98,6 +98,10 @@
 		if !ok {
 			t.Fatalf("unknown policy %q", name)
 		}
-		fmt.Println(replayTrace(t, trace, policy).JSON())
+		result := replayTrace(t, trace, policy)
+		fmt.Println(result.JSON())
+		for _, problem := range result.Problems {
+			t.Log(problem)
+		}
 	}
 }
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"sort"
 	"time"
@@ -26,6 +27,9 @@
 	// InnocentsRefused counts refused requests that were not poisoned.
 	InnocentsRefused int                          `json:"innocents_refused"`
 	Callers          map[domain.CallerID]Measures `json:"callers"`
+	// Problems describes the requests that were answered twice or wrongly, lost,
+	// or left in memory.
+	Problems []string `json:"-"`
 }
 
 // Measures are the figures of a set of requests.
@@ -82,6 +86,9 @@
 		if c.refused() && !c.arrival.Poison {
 			result.InnocentsRefused++
 		}
+		if problem := c.problem(); problem != "" {
+			result.Problems = append(result.Problems, problem)
+		}
 	}
 	for caller, own := range byCaller {
 		result.Callers[caller] = r.measures(own, func(id domain.CallerID) bool { return id == caller })
@@ -152,6 +159,16 @@
 	}
 }
 
+// problem describes what went wrong with a request, or returns nothing.
+func (c *call) problem() string {
+	lost := !c.whole && !c.left && !c.refused()
+	if !lost && c.repeated+c.wrong == 0 && !c.memory {
+		return ""
+	}
+	return fmt.Sprintf("%v sent at %v ended at %v: whole %v, left %v, refusal %v, %d tokens, %d repeated, %d wrong, memory left %v",
+		c.key(), c.sent.Sub(c.run.env.Start), c.ended.Sub(c.run.env.Start), c.whole, c.left, c.refusal, c.tokens, c.repeated, c.wrong, c.memory)
+}
+
 // inWindow says whether a time lies in the measured part of the run.
 func (r *run) inWindow(at time.Time) bool {
 	since := at.Sub(r.env.Start)
--- a/replay/traces_test.go
+++ b/replay/traces_test.go
@@ -88,6 +88,9 @@
 		t.Errorf("answered twice %d, doubled %d, lost %d, memory left %d; want none",
 			r.AnsweredTwice, r.Doubled, r.Lost, r.MemoryLeft)
 	}
+	for _, problem := range r.Problems[:min(len(r.Problems), 10)] {
+		t.Error(problem)
+	}
 	ended := r.Answered + r.Left + r.Lost
 	for _, n := range r.Refused {
 		ended += n
--- a/routing/transfer.go
+++ b/routing/transfer.go
@@ -25,7 +25,11 @@
 	defer stop()
 	stalls := 0
 	for {
-		err := f.importOnce(ctx, p, result, time.Until(expiry)/2)
+		limit := time.Until(expiry)
+		if stalls+1 < maxTransferStalls {
+			limit /= 2
+		}
+		err := f.importOnce(ctx, p, result, limit)
 		if err == nil {
 			return nil
 		}
