--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -129,7 +129,7 @@
 	pair, ok := g.decide(w)
 	if !ok {
 		g.reserve(w)
-		return fairqueue.NoRoom
+		return noRoom(w)
 	}
 	if left, bounded := w.left(now); bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
@@ -140,6 +140,15 @@
 	return fairqueue.Accept
 }
 
+// noRoom returns the verdict on a request that fits nowhere. One that only some
+// upstreams may run does not hold up the others of its caller.
+func noRoom(w *waiter) fairqueue.Verdict {
+	if w.req.Suspect || len(w.req.Avoid) > 0 {
+		return fairqueue.NotReady
+	}
+	return fairqueue.NoRoom
+}
+
 // decide chooses the upstreams of a waiting request.
 func (g *group) decide(w *waiter) (placement.Pair, bool) {
 	for i, d := range g.decode {
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"sort"
 	"time"
@@ -20,10 +21,15 @@
 	FairnessIntervals int     `json:"fairness_intervals"`
 	// SlotsBusy is the mean part of the decode slots in use.
 	SlotsBusy float64 `json:"slots_busy"`
-	Crashes   int     `json:"crashes"`
+	// PrefillBusy is the mean part of the time that prefill upstreams computed.
+	PrefillBusy float64 `json:"prefill_busy"`
+	Crashes     int     `json:"crashes"`
 	// InnocentsRefused counts refused requests that were not poisoned.
 	InnocentsRefused int                          `json:"innocents_refused"`
 	Callers          map[domain.CallerID]Measures `json:"callers"`
+	// Problems describes the requests that were answered twice or wrongly, lost,
+	// or left in memory.
+	Problems []string `json:"-"`
 }
 
 // Measures are the figures of a set of requests.
@@ -70,6 +76,7 @@
 	if r.slots.total > 0 {
 		result.SlotsBusy = round(float64(r.slots.used) / float64(r.slots.total))
 	}
+	result.PrefillBusy = round(prefillBusy(r))
 	for _, e := range r.env.Fabric.Engines() {
 		result.Crashes += e.Counts().Crashes
 	}
@@ -79,6 +86,9 @@
 		if c.refused() && !c.arrival.Poison {
 			result.InnocentsRefused++
 		}
+		if problem := c.problem(); problem != "" {
+			result.Problems = append(result.Problems, problem)
+		}
 	}
 	for caller, own := range byCaller {
 		result.Callers[caller] = r.measures(own, func(id domain.CallerID) bool { return id == caller })
@@ -86,6 +96,21 @@
 	return result
 }
 
+// prefillBusy estimates the part of the arrivals' time that the prefill upstreams
+// needed for the tokens that they computed.
+func prefillBusy(r *run) float64 {
+	var busy, total float64
+	for _, e := range r.env.Fabric.Engines() {
+		up := e.Upstream()
+		if up.Role != domain.RolePrefill {
+			continue
+		}
+		busy += float64(e.Counts().PrefillTokens) / float64(up.PrefillRate)
+		total += r.env.Trace.Duration.D().Seconds()
+	}
+	return busy / max(total, 1)
+}
+
 // measures works out the figures of some calls.
 func (r *run) measures(calls []*call, match func(domain.CallerID) bool) Measures {
 	m := Measures{Sent: len(calls), Refused: make(map[domain.RefusalKind]int)}
@@ -134,6 +159,16 @@
 	}
 }
 
+// problem describes what went wrong with a request, or returns nothing.
+func (c *call) problem() string {
+	lost := !c.whole && !c.left && !c.refused()
+	if !lost && c.repeated+c.wrong == 0 && !c.memory {
+		return ""
+	}
+	return fmt.Sprintf("%v sent at %v ended at %v: whole %v, left %v, refusal %v, %d tokens, %d repeated, %d wrong, memory left %v",
+		c.key(), c.sent.Sub(c.run.env.Start), c.ended.Sub(c.run.env.Start), c.whole, c.left, c.refusal, c.tokens, c.repeated, c.wrong, c.memory)
+}
+
 // inWindow says whether a time lies in the measured part of the run.
 func (r *run) inWindow(at time.Time) bool {
 	since := at.Sub(r.env.Start)
--- a/routing/config.go
+++ b/routing/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"greengagespoke/claims"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
 	"greengagespoke/groups"
@@ -32,7 +33,7 @@
 	// Cancel bounds one cancel call. Default 1 s.
 	Cancel time.Duration
 	// CancelGiveUp is how long cancels are repeated before the keeper's listing
-	// is left to free the memory. Default 30 s.
+	// is left to free the memory. Default 8 s, longer than the term of a grant.
 	CancelGiveUp time.Duration
 }
 
@@ -44,7 +45,7 @@
 	setDefault(&t.KeeperRetry, 100*time.Millisecond)
 	setDefault(&t.KeeperLoss, 3*time.Second)
 	setDefault(&t.Cancel, time.Second)
-	setDefault(&t.CancelGiveUp, 30*time.Second)
+	setDefault(&t.CancelGiveUp, 8*time.Second)
 	return t
 }
 
@@ -66,9 +67,6 @@
 	Finished(fingerprint uint64)
 }
 
-// SendFunc sends a call to an upstream once.
-type SendFunc func(ctx context.Context) (ports.ServiceResponse, error)
-
 // Leaving knows which upstreams are about to stop.
 type Leaving interface {
 	Leaving(id domain.UpstreamID) bool
@@ -76,13 +74,12 @@
 
 // Claims executes non-idempotent calls at most once.
 type Claims interface {
-	// Execute runs send unless the call already ran. The digest covers the call's
-	// content, so that one key cannot stand for two calls.
-	Execute(ctx context.Context, caller domain.CallerID, key string, digest uint64, send SendFunc) (ports.ServiceResponse, error)
+	// Execute runs send unless the call already ran.
+	Execute(ctx context.Context, call claims.Call, send claims.Sender) (ports.ServiceResponse, error)
 }
 
-// Config holds what a gate works with. All fields but Timing and Scope are
-// required.
+// Config holds what a gate works with. All fields but Scope, Timing and Rand
+// are required.
 type Config struct {
 	Tables     ports.TableView
 	Membership ports.Membership
@@ -95,4 +92,7 @@
 	// Scope is the scope of upstream groups. Default groups.ScopeRegion.
 	Scope  groups.Scope
 	Timing Timing
+	// Rand returns a random number from 0 to n-1. Default rand.Int64N; replays
+	// replace it, so that their runs repeat.
+	Rand func(n int64) int64
 }
--- a/routing/place.go
+++ b/routing/place.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"greengagespoke/domain"
@@ -46,8 +45,8 @@
 	if len(candidates) == 0 {
 		candidates = all
 	}
-	first := candidates[rand.IntN(len(candidates))]
-	second := candidates[rand.IntN(len(candidates))]
+	first := candidates[g.cfg.Rand(int64(len(candidates)))]
+	second := candidates[g.cfg.Rand(int64(len(candidates)))]
 	firstWait, _ := g.waits.Load(first.ID)
 	secondWait, _ := g.waits.Load(second.ID)
 	if secondWait < firstWait {
@@ -96,7 +95,7 @@
 		if refusal := f.keeperLost(lastAnswer); refusal != nil {
 			return place{}, refusal
 		}
-		if !sleep(ctx, jitter(g.timing.KeeperRetry)) {
+		if !sleep(ctx, g.jitter(g.timing.KeeperRetry)) {
 			return place{}, ctx.Err()
 		}
 	}
@@ -117,16 +116,34 @@
 	return group, host, nil
 }
 
-// keeperLost refuses an interactive request that found no keeper for too long.
+// keeperLost refuses a request that found no keeper for too long. Patient
+// requests and answers that have begun wait on, unless this host is leaving and
+// no other host is there to grant places.
 func (f *flight) keeperLost(since time.Time) error {
+	if time.Since(since) < f.gate.timing.KeeperLoss {
+		return nil
+	}
 	waits := f.route.Class == domain.ClassPatient || f.sequence.delivered() > 0
-	if waits || time.Since(since) < f.gate.timing.KeeperLoss {
+	if waits && !f.gate.lastHostLeaving() {
 		return nil
 	}
 	return domain.Refuse(domain.RefusalNoUpstream, "no host grants places of pool "+string(f.route.Pool),
 		"retry on another address of the entry points").After(time.Second)
 }
 
+// lastHostLeaving reports whether this host is leaving and no host is alive.
+func (g *Gate) lastHostLeaving() bool {
+	if g.cfg.Membership.Self().State != domain.MemberLeaving {
+		return false
+	}
+	for _, m := range g.cfg.Membership.Members() {
+		if m.State == domain.MemberAlive {
+			return false
+		}
+	}
+	return true
+}
+
 // placeRequest describes the current attempt to the keeper.
 func (f *flight) placeRequest(began time.Time) domain.PlaceRequest {
 	self := f.gate.cfg.Membership.Self()
@@ -208,6 +225,6 @@
 }
 
 // jitter returns a duration between half and one and a half times d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
+func (g *Gate) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(g.cfg.Rand(int64(d)))
 }
