Keep promised places late and anywhere; do not let queues drift

A suspect that was passed over reserved an upstream that it could not use. Promises waited for a release on one upstream. Change: the link queue counts transfers only; queues are dropped with an engine that failed; suspects reserve nothing; a gate asks for a promised place after the prefill (routing confirms it), and the keeper gives it any free place, the longest asking first.

--- a/keeper/acquire.go
+++ b/keeper/acquire.go
@@ -77,6 +77,7 @@
 		return granted(gr.Grant, now), nil, nil
 	}
 	gr.asking++
+	gr.asked = now
 	g.dispatch(now)
 	return nil, gr, nil
 }
--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"greengagespoke/domain"
@@ -9,10 +10,6 @@
 	"greengagespoke/placement"
 )
 
-// lookAheadInterval is the time between dispatches while requests wait and the
-// policy promises predicted releases.
-const lookAheadInterval = 20 * time.Millisecond
-
 // dispatch confirms promised places and grants the others to waiting requests in
 // fair order until none fits.
 func (g *group) dispatch(now time.Time) {
@@ -33,25 +30,6 @@
 	g.scheduleLookAhead()
 }
 
-// scheduleLookAhead dispatches again in a moment where time alone may make a
-// promise possible.
-func (g *group) scheduleLookAhead() {
-	if g.queue.Len() == 0 || !g.keeper.cfg.Policy.LooksAhead() {
-		return
-	}
-	if g.lookAhead == nil {
-		g.lookAhead = time.AfterFunc(lookAheadInterval, g.lookAgain)
-		return
-	}
-	g.lookAhead.Reset(lookAheadInterval)
-}
-
-func (g *group) lookAgain() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.dispatch(time.Now())
-}
-
 // refused is a waiting request with the refusal that it is to receive.
 type refused struct {
 	waiter  *waiter
@@ -81,25 +59,9 @@
 	}
 	g.snap.Decode = g.snap.Decode[:0]
 	for _, d := range g.decode {
-		state := d.snapshot(now)
-		state.Freeing = g.freeing(d, now)
-		g.snap.Decode = append(g.snap.Decode, state)
-	}
-}
-
-// freeing returns the releases of a full decode upstream that may be promised.
-func (g *group) freeing(d *decodeState, now time.Time) []placement.Freeing {
-	policy := g.keeper.cfg.Policy
-	if !policy.LooksAhead() || d.freeSlots() > 0 || len(d.promises) >= maxPromises {
-		return nil
+		g.snap.Decode = append(g.snap.Decode, d.snapshot(now))
 	}
-	g.ends = g.ends[:0]
-	for _, gr := range d.grants {
-		if !gr.promised {
-			g.ends = append(g.ends, PredictedEnd{In: g.remaining(gr, now), Pieces: gr.Pieces})
-		}
-	}
-	return policy.Freeing(g.ends, nil)
+	g.lookAheadAll(now)
 }
 
 // hasRoom returns whether any decode upstream could take a request.
@@ -173,9 +135,10 @@
 }
 
 // reserve keeps the next places of one decode upstream for a request that was
-// passed over too often, so that smaller requests cannot starve it.
+// passed over too often, so that smaller requests cannot starve it. A suspect
+// waits for other suspects, not for memory.
 func (g *group) reserve(w *waiter) {
-	if w.entry.Passed() < passedBound {
+	if w.entry.Passed() < passedBound || w.req.Suspect {
 		return
 	}
 	var best *decodeState
@@ -186,6 +149,9 @@
 		if d.reservedFor != nil || g.snap.Decode[i].Unusable || d.up.Pieces < w.req.Pieces() {
 			continue
 		}
+		if slices.Contains(w.req.Avoid, d.up.ID) {
+			continue
+		}
 		if best == nil || d.up.Pieces-d.pieces > best.up.Pieces-best.pieces {
 			best = d
 		}
@@ -234,7 +200,7 @@
 	p.plan(now, pair, w.req.Suspect)
 	g.index.Expect(p.position, w.req.PieceKeys)
 	g.snap.Decode[pair.Decode] = d.snapshot(now)
-	g.snap.Decode[pair.Decode].Freeing = g.freeing(d, now)
+	g.lookAheadAll(now)
 	g.snap.Prefill[pair.Prefill] = p.snapshot(now)
 	g.grants[gr.ID] = gr
 	g.requests[w.req.ID.Key()] = &request{grant: gr}
--- a/keeper/grants.go
+++ b/keeper/grants.go
@@ -89,14 +89,14 @@
 }
 
 // judge notes how a grant ended on its upstreams. After a failure they are asked
-// at once whether they still answer. A promise that was not kept says nothing
-// about them.
+// at once whether they still answer. A promise that was kept late says
+// nothing about them.
 func (g *group) judge(gr *grant, reason domain.ReleaseReason, now time.Time) {
 	if reason == domain.ReleaseCrashed {
 		g.crashReported(gr, now)
 		return
 	}
-	if gr.promised {
+	if gr.early && reason == domain.ReleaseFailed {
 		return
 	}
 	for _, u := range g.upstreams() {
--- a/keeper/group.go
+++ b/keeper/group.go
@@ -51,7 +51,7 @@
 	scheduler *placement.Scheduler
 	snap      placement.Snapshot
 	decision  placement.Decision
-	ends      []PredictedEnd
+	rates     []float64
 	// lookAhead dispatches again as predicted releases come closer.
 	lookAhead *time.Timer
 }
@@ -76,11 +76,15 @@
 	// decoding is when decoding started, as predicted or observed.
 	decoding time.Time
 	avoid    []domain.UpstreamID
+	// early says that the place was granted before it was free.
+	early bool
 	// promised says that the place is not free yet, due when it is predicted to
-	// be, asking how many calls wait for it; confirmed is closed when it is free.
+	// be, asking how many calls wait for it since asked; confirmed is closed when
+	// it is free.
 	promised  bool
 	due       time.Time
 	asking    int
+	asked     time.Time
 	confirmed chan struct{}
 	// revoking says that the attempt is being canceled on its engines, and
 	// replacement is the newer attempt that waits for that.
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -69,7 +69,7 @@
 	if u.failures == failureBound {
 		g.keeper.metrics.tookOut.Add(1)
 		klog.InfoS("upstream receives no grants until it answers", "upstream", u.up.ID, "group", g.id, "err", err)
-		g.forgetCache(u.up.ID)
+		g.forgetPrefill(u.up.ID)
 	}
 }
 
--- a/keeper/policy.go
+++ b/keeper/policy.go
@@ -16,13 +16,19 @@
 	// Freeing returns the releases of a decode upstream that may be promised, in
 	// order of time, appended to buf. Places that are promised already stand at
 	// the front of the order.
-	Freeing(ends []PredictedEnd, buf []placement.Freeing) []placement.Freeing
+	Freeing(o Outlook, buf []placement.Freeing) []placement.Freeing
 }
 
-// PredictedEnd is the predicted end of one grant on a decode upstream.
-type PredictedEnd struct {
-	// In is the expected time until the place is free.
-	In     time.Duration
+// Outlook is what is expected of the places of a full decode upstream and of its
+// group.
+type Outlook struct {
+	// Rate is the expected number of releases per second on the upstream, and
+	// GroupRate that of the whole group.
+	Rate, GroupRate float64
+	// Promised is the number of promised places on the upstream, and
+	// GroupPromised that of the whole group.
+	Promised, GroupPromised int
+	// Pieces is the least memory that a release frees.
 	Pieces int
 }
 
@@ -37,28 +43,29 @@
 func (ReserveThenPrefill) LooksAhead() bool { return false }
 
 // Freeing implements Policy.
-func (ReserveThenPrefill) Freeing(_ []PredictedEnd, buf []placement.Freeing) []placement.Freeing {
+func (ReserveThenPrefill) Freeing(_ Outlook, buf []placement.Freeing) []placement.Freeing {
 	return buf
 }
 
 const (
-	// defaultSafety makes a promise hold with a probability of 1-1/e^2 where the
-	// ends of the grants are independent.
+	// defaultSafety is the number of releases that are expected in the time for
+	// which one is promised.
 	defaultSafety = 2
 	// maxPromises bounds the promised places of one upstream.
-	maxPromises = 2
+	maxPromises = 6
 	// promiseHorizon is the farthest release that is promised. It is less than
 	// the life of a prefill result.
-	promiseHorizon = 800 * time.Millisecond
-	// leastRemaining is the least expected time until a grant ends, so that one
-	// overdue answer does not promise a release at once.
-	leastRemaining = 50 * time.Millisecond
+	promiseHorizon = 3 * time.Second
+	// leastRemaining is the least expected time until a grant ends, about the error
+	// of the prediction, so that one overdue answer does not promise a release.
+	leastRemaining = 500 * time.Millisecond
 )
 
 // JustInTime grants places that are predicted to be free by the time the prefill
-// and the transfer end. The releases of an upstream are taken as a process whose
-// rate is the sum of the inverse expected times until its grants end; the k-th
-// release is promised for Safety*k over that rate.
+// and the transfer end. The releases of a group are taken as a process whose rate
+// is the sum of the inverse expected times until its grants end; the k-th release
+// is promised for Safety*k over that rate. A promise names an upstream on which a
+// release is expected within the horizon, and may be kept on another one.
 type JustInTime struct {
 	// Safety stretches the predicted times; zero means 2.
 	Safety float64
@@ -71,27 +78,21 @@
 func (JustInTime) LooksAhead() bool { return true }
 
 // Freeing implements Policy.
-func (j JustInTime) Freeing(ends []PredictedEnd, buf []placement.Freeing) []placement.Freeing {
+func (j JustInTime) Freeing(o Outlook, buf []placement.Freeing) []placement.Freeing {
 	safety := j.Safety
 	if safety == 0 {
 		safety = defaultSafety
 	}
-	rate, pieces := 0.0, 0
-	for i, e := range ends {
-		rate += 1 / max(e.In, leastRemaining).Seconds()
-		if i == 0 || e.Pieces < pieces {
-			pieces = e.Pieces
+	for k := 1; k <= maxPromises; k++ {
+		if float64(k) > max(1, o.Rate*promiseHorizon.Seconds()) {
+			break
 		}
-	}
-	if rate == 0 {
-		return buf
-	}
-	for k := 1; k <= min(maxPromises, len(ends)); k++ {
-		in := time.Duration(safety * float64(k) / rate * float64(time.Second))
+		ahead := float64(k + o.GroupPromised - o.Promised)
+		in := time.Duration(safety * ahead / o.GroupRate * float64(time.Second))
 		if in > promiseHorizon {
 			break
 		}
-		buf = append(buf, placement.Freeing{In: in, Pieces: pieces})
+		buf = append(buf, placement.Freeing{In: in, Pieces: o.Pieces})
 	}
 	return buf
 }
--- a/keeper/promise.go
+++ b/keeper/promise.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -14,7 +13,7 @@
 
 // promise marks a grant whose place is predicted to become free.
 func (d *decodeState) promise(g *grant) {
-	g.promised = true
+	g.promised, g.early = true, true
 	g.confirmed = make(chan struct{})
 	d.promises = append(d.promises, g)
 	d.promisedPieces += g.Pieces
@@ -31,70 +30,82 @@
 	d.promisedPieces -= g.Pieces
 }
 
-// hasPlace returns whether a promised grant's place is free by now.
+// unused returns the slots that are free now, with those that are promised.
+func (d *decodeState) unused() int { return d.freeSlots() + len(d.promises) }
+
+// hasPlace returns whether a promised grant could have a place now.
 func (d *decodeState) hasPlace(g *grant) bool {
-	return d.freeSlots()+len(d.promises) > 0 && d.freePieces()+d.promisedPieces >= g.Pieces
+	return d.unused() > 0 && d.freePieces()+d.promisedPieces >= g.Pieces
 }
 
-// confirmPromises gives free places to the grants that were promised them, the
-// oldest first, before any new request receives one.
+// confirmPromises gives free places to promised grants before any new request
+// receives one. Those whose gate asks go first, the longest asking first, as
+// their prefill result expires; they may be moved to another upstream, as the
+// gate learns of it before it starts the transfer. The others need no place yet.
 func (g *group) confirmPromises(now time.Time) {
+	for _, gr := range g.asking() {
+		if to := g.placeFor(gr, now); to != nil {
+			g.keep(gr, to, now)
+		}
+	}
 	for _, d := range g.decode {
-		for len(d.promises) > 0 && d.hasPlace(d.promises[0]) {
-			gr := d.promises[0]
-			d.unpromise(gr)
-			gr.DecodeIn = 0
-			if now.After(gr.due) {
-				g.keeper.metrics.promisesLate.Add(1)
-			}
+		for len(d.promises) > 0 && now.Sub(d.promises[0].due) > promisePoll && d.hasPlace(d.promises[0]) {
+			g.keep(d.promises[0], d, now)
 		}
 	}
-	g.movePromises(now)
 }
 
-// movePromises gives overdue promised grants a free place on another upstream.
-// Only grants whose gate asks for the place are moved, as the gate must learn
-// of it before it starts the transfer.
-func (g *group) movePromises(now time.Time) {
-	var overdue []*grant
+// asking returns the promised grants whose gates wait for the place, the longest
+// waiting first.
+func (g *group) asking() []*grant {
+	var asking []*grant
 	for _, d := range g.decode {
 		for _, gr := range d.promises {
-			if gr.asking > 0 && now.After(gr.due) {
-				overdue = append(overdue, gr)
+			if gr.asking > 0 {
+				asking = append(asking, gr)
 			}
 		}
 	}
-	slices.SortStableFunc(overdue, func(a, b *grant) int { return a.due.Compare(b.due) })
-	for _, gr := range overdue {
-		if to := g.freePlace(gr, now); to != nil {
-			g.move(gr, to)
-		}
-	}
+	slices.SortStableFunc(asking, func(a, b *grant) int { return a.asked.Compare(b.asked) })
+	return asking
 }
 
-// freePlace returns the decode upstream with the most free slots that can take
-// a grant at once.
-func (g *group) freePlace(gr *grant, now time.Time) *decodeState {
+// placeFor returns the upstream on which a promised grant can have a place now:
+// its own, or the one with the most free places.
+func (g *group) placeFor(gr *grant, now time.Time) *decodeState {
+	own := g.byDecode[gr.Decode]
+	if own.hasPlace(gr) {
+		return own
+	}
 	var best *decodeState
 	for _, d := range g.decode {
-		if d.freeSlots() <= 0 || d.freePieces() < gr.Pieces || !d.usable(now) || d.reservedFor != nil {
+		if !d.hasPlace(gr) || !d.usable(now) || d.reservedFor != nil {
 			continue
 		}
 		if slices.Contains(gr.avoid, d.up.ID) || (gr.Suspect && d.suspects > 0) {
 			continue
 		}
-		if best == nil || cmp.Compare(d.freeSlots(), best.freeSlots()) > 0 {
+		if best == nil || d.unused() > best.unused() {
 			best = d
 		}
 	}
 	return best
 }
 
-func (g *group) move(gr *grant, to *decodeState) {
-	g.byDecode[gr.Decode].give(gr)
-	gr.Decode = to.up.ID
+// keep gives a promised grant its place.
+func (g *group) keep(gr *grant, on *decodeState, now time.Time) {
+	if now.After(gr.due) {
+		g.keeper.metrics.promisesLate.Add(1)
+	}
 	gr.DecodeIn = 0
-	to.take(gr)
+	own := g.byDecode[gr.Decode]
+	if own == on {
+		own.unpromise(gr)
+		return
+	}
+	own.give(gr)
+	gr.Decode = on.up.ID
+	on.take(gr)
 	g.keeper.metrics.promisesMoved.Add(1)
 }
 
--- a/keeper/promise_test.go
+++ b/keeper/promise_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/placement"
 	"greengagespoke/ports"
 )
 
@@ -146,3 +147,42 @@
 	req.PromptTokens = n*domain.PieceTokens - req.OutputTokens
 	return req
 }
+
+// TestFreePlaceGoesToTheGateThatAsks checks that a place does not stay empty for
+// a promise whose prefill still runs while another gate waits for one.
+func TestFreePlaceGoesToTheGateThatAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 2, 20, 200}, JustInTime{})
+		defer b.start(t, b.keeper)()
+		grants := fill(t, b, 40)
+		first, second := place("a", "1", 1), place("b", "1", 1)
+		first.PromptTokens, second.PromptTokens = 10_000, 10_000
+		running := mustAcquire(t, b.keeper, first)
+		mustAcquire(t, b.keeper, second)
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			for _, g := range grants {
+				if g.Decode == running.Decode {
+					release(t, b.keeper, g)
+					return
+				}
+			}
+		}()
+		if kept := mustAcquire(t, b.keeper, second); kept.DecodeIn != 0 || kept.Decode != running.Decode {
+			t.Errorf("got %+v, want the place that became free on %s", kept, running.Decode)
+		}
+	})
+}
+
+// TestLinkQueueDoesNotKeepErrorsOfThePrefillQueue checks that a prefill upstream
+// is used again once a load report corrected its queue.
+func TestLinkQueueDoesNotKeepErrorsOfThePrefillQueue(t *testing.T) {
+	now := time.Now()
+	p := &prefillState{upstreamState: upstreamState{up: domain.Upstream{PrefillRate: 1000}}}
+	p.busyUntil = now.Add(time.Minute)
+	p.plan(now, placement.Pair{PrefillWork: time.Second, Transfer: 10 * time.Millisecond}, false)
+	p.correct(now.Add(2*time.Second), ports.Load{})
+	if s := p.snapshot(now.Add(2 * time.Second)); s.Queue != 0 || s.LinkQueue != 0 {
+		t.Errorf("queue of %v and link queue of %v after an empty report", s.Queue, s.LinkQueue)
+	}
+}
--- a/keeper/upstream.go
+++ b/keeper/upstream.go
@@ -161,8 +161,10 @@
 	upstreamState
 	// position names the upstream in the prefix index.
 	position int
-	// busyUntil is the predicted end of the granted prefill work, linkUntil that
-	// of the granted transfers, suspectUntil that of the work of suspects.
+	// busyUntil is the predicted end of the granted prefill work, suspectUntil that
+	// of the work of suspects. linkUntil is the end of the granted transfers if
+	// they ran without a break; it does not follow busyUntil, so that an error of
+	// that prediction, which load reports correct, does not stay in it.
 	busyUntil, linkUntil, suspectUntil time.Time
 	// log holds recently granted work in order of time.
 	log []prefillWork
@@ -194,9 +196,9 @@
 // plan adds the work of a granted pair to the upstream's queues.
 func (p *prefillState) plan(now time.Time, pair placement.Pair, suspect bool) {
 	p.busyUntil = latest(now, p.busyUntil).Add(pair.PrefillWork)
-	p.linkUntil = latest(p.busyUntil, p.linkUntil).Add(pair.Transfer)
+	p.linkUntil = latest(now, p.linkUntil).Add(pair.Transfer)
 	if suspect {
-		p.suspectUntil = latest(p.suspectUntil, p.linkUntil)
+		p.suspectUntil = latest(p.suspectUntil, p.busyUntil.Add(pair.Transfer))
 	}
 	p.log = append(p.log, prefillWork{at: now, time: pair.PrefillWork})
 }
--- a/keeper/watch.go
+++ b/keeper/watch.go
@@ -144,12 +144,13 @@
 	g.index.Apply(p.position, events)
 }
 
-// forgetCache drops what is known of the cache of an engine that may have been
-// restarted.
-func (g *group) forgetCache(id domain.UpstreamID) {
+// forgetPrefill drops what is known of the cache and the queue of a prefill
+// engine that may have been restarted.
+func (g *group) forgetPrefill(id domain.UpstreamID) {
 	for _, p := range g.prefill {
 		if p.up.ID == id {
 			g.index.Forget(p.position)
+			p.busyUntil, p.linkUntil, p.log = time.Time{}, time.Time{}, nil
 		}
 	}
 }
--- a/routing/flight.go
+++ b/routing/flight.go
@@ -151,7 +151,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.gate.hold(place, cancel)
-	err = f.serve(ctx, place)
+	err = f.serve(ctx, &place)
 	f.finish(place, err)
 	return err
 }
@@ -164,16 +164,21 @@
 	decode  domain.Upstream
 }
 
-// serve runs prefill, transfer and decode on a granted place.
-func (f *flight) serve(ctx context.Context, p place) error {
-	result, err := f.prefill(ctx, p)
+// serve runs prefill, transfer and decode on a granted place. A place that was
+// granted before it is free is confirmed after the prefill, and may then be on
+// another decode upstream.
+func (f *flight) serve(ctx context.Context, p *place) error {
+	result, err := f.prefill(ctx, *p)
 	if err != nil {
 		return err
 	}
-	if err := f.transfer(ctx, p, result); err != nil {
+	if p.grant.DecodeIn > 0 {
+		f.confirm(ctx, p, result.ExpiresIn)
+	}
+	if err := f.transfer(ctx, *p, result); err != nil {
 		return err
 	}
-	return f.decode(ctx, p)
+	return f.decode(ctx, *p)
 }
 
 // prefill computes the KV cache of the prompt and of what was delivered.
--- a/routing/place.go
+++ b/routing/place.go
@@ -211,6 +211,32 @@
 	}
 }
 
+// confirm asks the keeper for the place of a grant that was given before the
+// place was free, while the prefill result lives. Without an answer the grant
+// stays as it is, and the transfer finds out whether its place is free.
+func (f *flight) confirm(ctx context.Context, p *place, life time.Duration) {
+	g := f.gate
+	host, ok := groups.Keeper(p.group, g.cfg.Membership.Members())
+	if !ok {
+		return
+	}
+	ctx, stop := context.WithTimeout(ctx, life)
+	defer stop()
+	grant, err := g.cfg.Peers.Keeper(host).Acquire(ctx, p.group.ID, f.placeRequest(f.accepted))
+	if err != nil || grant.ID != p.grant.ID {
+		return
+	}
+	for _, up := range p.group.Upstreams {
+		if up.ID == grant.Decode {
+			p.decode, p.grant = up, grant
+			g.held.Update(grant.ID, func(h heldGrant, ok bool) (heldGrant, bool) {
+				h.grant = grant
+				return h, ok
+			})
+		}
+	}
+}
+
 // withdraw takes the waiting request back from the keeper.
 func (f *flight) withdraw(group groups.Group, host domain.HostID) {
 	if host == "" {
