--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -101,13 +101,9 @@
 
 // send makes one send. It returns done where the request has its final outcome.
 func (d *draft) send(ctx context.Context, n, send int) (*domain.Refusal, bool) {
-	m, ok := d.fleet.alive(n + send)
-	if !ok {
-		return nil, false
-	}
-	connection, h, ok := d.fleet.running(m)
-	if !ok {
-		return nil, false
+	connection, h, refusal := d.fleet.connect(d.c.Caller, n+send)
+	if h == nil {
+		return refusal, false
 	}
 	reqCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -129,7 +125,7 @@
 	if err == nil {
 		return nil, true
 	}
-	refusal, _ := domain.AsRefusal(err)
+	refusal, _ = domain.AsRefusal(err)
 	if refusal == nil {
 		d.book.Problem("%s: error without a refusal: %v", d.c.Key(), err)
 		return nil, true
@@ -213,13 +209,9 @@
 // sendClosure makes one send of a call. No refusal and no answer means that the
 // connection broke.
 func (f *Fleet) sendClosure(ctx context.Context, n, send int, call routing.ServiceCall) (*domain.Refusal, bool) {
-	m, ok := f.alive(n + send)
-	if !ok {
-		return nil, false
-	}
-	connection, h, ok := f.running(m)
-	if !ok {
-		return nil, false
+	connection, h, refusal := f.connect(call.Caller, n+send)
+	if h == nil {
+		return refusal, false
 	}
 	reqCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -231,6 +223,6 @@
 	if err == nil {
 		return nil, true
 	}
-	refusal, _ := domain.AsRefusal(err)
+	refusal, _ = domain.AsRefusal(err)
 	return refusal, false
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,7 @@
 	Model       = "drafting-models"
 	modelPool   = domain.PoolName("drafting")
 	ledgerPool  = domain.PoolName("ledger")
+	draftsRoute = "drafts"
 	ClosurePath = "/ledger/closures"
 	StatusPath  = "/ledger/status"
 )
@@ -38,7 +39,9 @@
 	answerTokens      = 40
 	maxOutputTokens   = 200
 	retryPercent      = 20
-	serviceLatency    = 3 * time.Millisecond
+	serviceLatency    = 50 * time.Millisecond
+	frameFaultPercent = 2
+	frameLate         = 100 * time.Millisecond
 	serviceTimeout    = 5 * time.Second
 	engineRestart     = 3 * time.Second
 	entryPointsMaxAge = 2 * time.Second
@@ -75,9 +78,10 @@
 	// upstreams counts the upstreams, to give each an address of its own.
 	upstreams int
 
-	mu    sync.Mutex
-	Hosts []*Member
-	wg    sync.WaitGroup
+	mu        sync.Mutex
+	Hosts     []*Member
+	addresses map[domain.CallerID]*addressList
+	wg        sync.WaitGroup
 }
 
 // Member is one entry host of the fleet.
@@ -93,6 +97,8 @@
 	disconnect  context.CancelFunc
 	incarnation int
 	stopped     bool
+	// busy says that a fault works on the host.
+	busy bool
 }
 
 // Start builds a fleet and waits until every host has the tables. It ends with
@@ -104,9 +110,10 @@
 		Network: simnet.New(simnet.Config{
 			LocalDelay: localDelay, ZoneDelay: zoneDelay, Jitter: jitter, LossPercent: cfg.LossPercent, Seed: cfg.Seed,
 		}),
-		Fabric:   engine.NewFabric(engine.LinkConfig{ZoneDelay: zoneDelay}),
-		Ledger:   service.NewLedger(),
-		services: make(map[domain.UpstreamID]*service.Service),
+		Fabric:    engine.NewFabric(engine.LinkConfig{ZoneDelay: zoneDelay}),
+		Ledger:    service.NewLedger(),
+		services:  make(map[domain.UpstreamID]*service.Service),
+		addresses: make(map[domain.CallerID]*addressList),
 	}
 	f.Platform.SetHostLag(hostListLag)
 	f.Editor = tables.NewEditor(tables.EditorConfig{Store: f.Platform.Tables(), Clock: ports.SystemClock{}})
@@ -166,8 +173,8 @@
 	}{
 		{domain.TablePools, string(modelPool), model},
 		{domain.TablePools, string(ledgerPool), ledger},
-		{domain.TableRoutes, "drafts", domain.Route{
-			Name: "drafts", Pool: modelPool, Model: Model, Class: domain.ClassPatient,
+		{domain.TableRoutes, draftsRoute, domain.Route{
+			Name: draftsRoute, Pool: modelPool, Model: Model, Class: domain.ClassPatient,
 			MaxOutputTokens: maxOutputTokens, RetryPercent: retryPercent, MaxWaitingPerCaller: 1000,
 			BetweenTokens: domain.Duration(67 * time.Millisecond),
 		}},
@@ -198,6 +205,9 @@
 	e := engine.New(engine.Config{
 		Upstream: up, Model: Model, Fabric: f.Fabric, RestartAfter: engineRestart, Seed: f.cfg.Seed,
 		OutputTokens: func(_ string, limit int) int { return min(limit, answerTokens) },
+		Frames: engine.FrameFaults{
+			LatePercent: frameFaultPercent, Late: frameLate, DoubledPercent: frameFaultPercent, SwappedPercent: frameFaultPercent,
+		},
 	})
 	f.Engines = append(f.Engines, e)
 	return f.listUpstream(e.Upstream())
@@ -211,10 +221,14 @@
 func (f *Fleet) listUpstream(up domain.Upstream) domain.Upstream {
 	f.upstreams++
 	up.Address = fmt.Sprintf("127.0.0.1:%d", f.upstreams)
-	f.Platform.SetHost(ports.ListedHost{Name: string(up.ID), Zone: up.Zone})
+	f.Platform.SetHost(listedUpstream(up))
 	return up
 }
 
+func listedUpstream(up domain.Upstream) ports.ListedHost {
+	return ports.ListedHost{Name: string(up.ID), Zone: up.Zone}
+}
+
 // Wait waits for all hosts and stops the engines. The fleet's context must have
 // ended.
 func (f *Fleet) Wait() {
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,27 @@
 	return e, ok
 }
 
+// currentRoute returns the drafts route as an operator reads it.
+func (f *Fleet) currentRoute(ctx context.Context) (domain.Revision, domain.Route, error) {
+	snapshot, err := f.Editor.Snapshot(ctx)
+	if err != nil {
+		return 0, domain.Route{}, err
+	}
+	for _, row := range snapshot.Rows {
+		if row.Table == domain.TableRoutes && row.Row == draftsRoute {
+			var route domain.Route
+			err := json.Unmarshal(row.Value, &route)
+			return row.Version, route, err
+		}
+	}
+	return 0, domain.Route{}, errNotReady
+}
+
+// storeFailed reports whether an error is one of the table service.
+func storeFailed(err error) bool {
+	return errors.Is(err, ports.ErrStoreDown) || errors.Is(err, ports.ErrStoreUnknown) || errors.Is(err, ports.ErrStoreThrottled)
+}
+
 // StartHost starts a host, also again after it died.
 func (f *Fleet) StartHost(ctx context.Context, m *Member) {
 	hostCtx, cancel := context.WithCancel(ctx)
@@ -162,20 +184,6 @@
 // CutStore cuts a host off from the table service or mends it.
 func (f *Fleet) CutStore(m *Member, cut bool) { m.store.cut.Store(cut) }
 
-// alive returns a host that accepts connections from the entry points of a
-// random host, as a caller would be told, starting at position n.
-func (f *Fleet) alive(n int) (*Member, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for i := range f.Hosts {
-		m := f.Hosts[(n+i)%len(f.Hosts)]
-		if !m.stopped && !m.Host.Refusing() {
-			return m, true
-		}
-	}
-	return nil, false
-}
-
 // running returns whether a host is running, with its connections' context.
 func (f *Fleet) running(m *Member) (context.Context, *host.Host, bool) {
 	f.mu.Lock()
