Watch engine memory throughout fault tests, with longer answers

Change: 30 in 100 drafts have long answers, engines free nothing by themselves, and every attempt that nobody wants is watched against the 10 s bound.

--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -31,13 +31,16 @@
 	// Resent counts sends after a broken connection or a refusal.
 	Resent   int
 	Problems []string
-	// canceled are requests whose caller went away.
-	keys []domain.RequestKey
+	// waiting are the model requests whose caller still wants the answer.
+	waiting map[domain.RequestKey]bool
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{Refused: make(map[domain.RefusalKind]int)}
+	return &Book{
+		Refused: make(map[domain.RefusalKind]int),
+		waiting: make(map[domain.RequestKey]bool),
+	}
 }
 
 func (b *Book) note(f func()) {
@@ -46,6 +49,13 @@
 	f()
 }
 
+// wanted reports whether a caller waits for the answer to a request.
+func (b *Book) wanted(key domain.RequestKey) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.waiting[key]
+}
+
 // Problem records a broken promise.
 func (b *Book) Problem(format string, args ...any) {
 	b.note(func() { b.Problems = append(b.Problems, fmt.Sprintf(format, args...)) })
@@ -57,6 +67,7 @@
 	book   *Book
 	c      domain.Completion
 	want   engine.Answer
+	length int
 	text   strings.Builder
 	tokens int
 	whole  bool
@@ -66,12 +77,13 @@
 // it is sent again through another host, with what has arrived. A caller whose
 // ctx ends goes away.
 func (f *Fleet) Draft(ctx context.Context, book *Book, caller domain.CallerID, n int, prompt string) {
-	d := &draft{fleet: f, book: book, want: engine.AnswerTo(prompt)}
+	d := &draft{fleet: f, book: book, want: engine.AnswerTo(prompt), length: answerLength(prompt)}
 	d.c = domain.Completion{Caller: caller, Request: domain.RequestID(fmt.Sprintf("draft-%d", n)), Model: Model, Prompt: prompt}
 	book.note(func() {
 		book.Sent++
-		book.keys = append(book.keys, d.c.Key())
+		book.waiting[d.c.Key()] = true
 	})
+	defer book.note(func() { delete(book.waiting, d.c.Key()) })
 	var last *domain.Refusal
 	for send := 1; send <= maxSends; send++ {
 		if ctx.Err() != nil {
@@ -150,7 +162,7 @@
 // finish records the final outcome of a request.
 func (d *draft) finish(ctx context.Context, refusal *domain.Refusal) {
 	if refusal == nil {
-		if !d.whole || d.tokens != answerTokens {
+		if !d.whole || d.tokens != d.length {
 			d.book.Problem("%s: answer ended after %d tokens", d.c.Key(), d.tokens)
 		}
 		d.book.note(func() { d.book.Answered++ })
--- a/internal/fleet/checks.go
+++ b/internal/fleet/checks.go
@@ -17,26 +17,55 @@
 	checkInterval = 50 * time.Millisecond
 )
 
-// CheckMemory waits for the engines to be free of all attempts and records a
-// problem where they are not in time.
-func (f *Fleet) CheckMemory(book *Book) {
-	deadline := time.Now().Add(freedWithin)
-	for f.heldAttempts() > 0 && time.Now().Before(deadline) {
+// WatchMemory samples what the engines hold until ctx is done. It records a
+// problem for each attempt that stays on an engine longer than freedWithin
+// though its caller has gone or a newer attempt has replaced it.
+func (f *Fleet) WatchMemory(ctx context.Context, book *Book) {
+	since := make(map[domain.AttemptID]time.Time)
+	for ctx.Err() == nil {
+		held := f.unwanted(book)
+		for id := range since {
+			if _, still := held[id]; !still {
+				delete(since, id)
+			}
+		}
+		for id, upstream := range held {
+			if _, known := since[id]; !known {
+				since[id] = time.Now()
+			}
+			if time.Since(since[id]) > freedWithin {
+				book.Problem("%s holds %s attempt %d, which nobody wants", upstream, id.Key(), id.Attempt)
+				since[id] = time.Now()
+			}
+		}
 		time.Sleep(checkInterval)
 	}
+}
+
+// unwanted returns the attempts on running engines that serve no caller.
+func (f *Fleet) unwanted(book *Book) map[domain.AttemptID]domain.UpstreamID {
+	newest := make(map[domain.RequestKey]int)
+	held := make(map[domain.AttemptID]domain.UpstreamID)
 	for _, e := range f.Engines {
+		if e.Down() {
+			continue
+		}
 		for _, r := range e.Held() {
-			book.Problem("%s still holds %s attempt %d", e.Upstream().ID, r.ID.Key(), r.ID.Attempt)
+			held[r.ID] = e.Upstream().ID
+			newest[r.ID.Key()] = max(newest[r.ID.Key()], r.ID.Attempt)
+		}
+	}
+	for id := range held {
+		if id.Attempt == newest[id.Key()] && book.wanted(id.Key()) {
+			delete(held, id)
 		}
 	}
+	return held
 }
 
-func (f *Fleet) heldAttempts() int {
-	n := 0
-	for _, e := range f.Engines {
-		n += len(e.Held())
-	}
-	return n
+// AwaitMemory waits for as long as memory of gone callers may be held.
+func (f *Fleet) AwaitMemory() {
+	time.Sleep(freedWithin + time.Second)
 }
 
 // CheckDoubled records a problem for each call that ran more than once.
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -58,7 +58,10 @@
 
 func TestEachFaultAlone(t *testing.T) {
 	for i, fault := range Faults() {
-		t.Run(fault.Name, func(t *testing.T) { runFaults(t, uint64(100+i), fault) })
+		t.Run(fault.Name, func(t *testing.T) {
+			t.Parallel()
+			runFaults(t, uint64(100+i), fault)
+		})
 	}
 }
 
@@ -67,6 +70,7 @@
 	for i, first := range all {
 		for j, second := range all[i:] {
 			t.Run(first.Name+"+"+second.Name, func(t *testing.T) {
+				t.Parallel()
 				runFaults(t, uint64(1000+100*i+j), first, second)
 			})
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,16 +29,19 @@
 )
 
 const (
-	zones             = 3
-	localDelay        = time.Millisecond
-	zoneDelay         = 5 * time.Millisecond
-	jitter            = 500 * time.Microsecond
-	decodeSlots       = 20
-	decodePieces      = 200
-	prefillRate       = 20_000
-	linkBytesPerSec   = 10 << 30
-	answerTokens      = 40
-	maxOutputTokens   = 200
+	zones           = 3
+	localDelay      = time.Millisecond
+	zoneDelay       = 5 * time.Millisecond
+	jitter          = 500 * time.Microsecond
+	decodeSlots     = 20
+	decodePieces    = 200
+	prefillRate     = 20_000
+	linkBytesPerSec = 10 << 30
+	shortAnswer     = 40
+	longAnswer      = 400
+	maxOutputTokens = 1000
+	// resumeGrace is so long that an engine does not free memory by itself.
+	resumeGrace       = time.Hour
 	retryPercent      = 20
 	serviceLatency    = 50 * time.Millisecond
 	frameFaultPercent = 2
@@ -201,10 +205,22 @@
 	return f.Editor.Apply(ctx, domain.Edit{ID: id, Table: table, Row: row, BaseVersion: base, Value: data, Editor: "operator"})
 }
 
+// longMark in a prompt asks for a long answer.
+const longMark = "(long)"
+
+// answerLength returns the length of the answer to a prompt in tokens.
+func answerLength(prompt string) int {
+	if strings.Contains(prompt, longMark) {
+		return longAnswer
+	}
+	return shortAnswer
+}
+
 func (f *Fleet) startEngine(up domain.Upstream) domain.Upstream {
 	e := engine.New(engine.Config{
 		Upstream: up, Model: Model, Fabric: f.Fabric, RestartAfter: engineRestart, Seed: f.cfg.Seed,
-		OutputTokens: func(_ string, limit int) int { return min(limit, answerTokens) },
+		OutputTokens: func(prompt string, _ int) int { return answerLength(prompt) },
+		ResumeGrace:  resumeGrace,
 		Frames: engine.FrameFaults{
 			LatePercent: frameFaultPercent, Late: frameLate, DoubledPercent: frameFaultPercent, SwappedPercent: frameFaultPercent,
 		},
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,16 +19,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		watched := make(chan struct{})
-		go func() {
-			defer close(watched)
-			f.WatchRevisions(ctx, book)
-		}()
+		var watchers sync.WaitGroup
+		watchers.Go(func() { f.WatchRevisions(ctx, book) })
+		watchers.Go(func() { f.WatchMemory(ctx, book) })
 		body(ctx, f, book)
-		f.CheckMemory(book)
+		f.AwaitMemory()
 		f.CheckDoubled(book)
 		cancel()
-		<-watched
+		watchers.Wait()
 		f.Wait()
 	})
 	for _, problem := range book.Problems {
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -13,13 +13,15 @@
 
 const (
 	// Mean times between two requests of each kind.
-	draftGap   = 150 * time.Millisecond
+	draftGap   = 100 * time.Millisecond
 	closureGap = 200 * time.Millisecond
 	// cancelPercent is how many in 100 drafts are given up by their caller.
 	cancelPercent = 10
-	percent       = 100
-	promptLines   = 100
-	promptLine    = "Station, azimuth, slope and distance of one survey leg. "
+	// longPercent is how many in 100 of the other drafts have a long answer.
+	longPercent = 30
+	percent     = 100
+	promptLines = 100
+	promptLine  = "Station, azimuth, slope and distance of one survey leg. "
 )
 
 // callerNames are the firms that share the fleet.
@@ -43,6 +45,9 @@
 		if rng.IntN(percent) < cancelPercent {
 			leaveAfter = time.Duration(rng.IntN(3000)) * time.Millisecond
 		}
+		if leaveAfter > 0 || rng.IntN(percent) < longPercent {
+			prompt = longMark + prompt
+		}
 		wg.Go(func() {
 			draftCtx := context.WithoutCancel(ctx)
 			if leaveAfter > 0 {
