--- a/keeper/grants.go
+++ b/keeper/grants.go
@@ -171,6 +171,9 @@
 		g.keeper.metrics.dropped.Add(1)
 		g.finish(w, domain.Grant{}, refuseWithdrawn())
 	}
+	for _, u := range g.upstreams() {
+		g.cancelStrays(u, now)
+	}
 	g.forgetEnded(now)
 	g.dispatch(now)
 }
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -1,7 +1,10 @@
 package keeper
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -13,7 +16,9 @@
 const (
 	// strayGraceGone is how long an attempt may run without a grant where its
 	// holder is not alive, so that a new keeper learns of grants first.
-	strayGraceGone = 4 * time.Second
+	// It is longer than the renewal interval of gates and short enough that the
+	// memory of a gate and a keeper that die together is freed within 10 s.
+	strayGraceGone = 2500 * time.Millisecond
 	// strayGraceAlive is the same where the holder is alive and should renew.
 	strayGraceAlive = 8 * time.Second
 )
@@ -89,13 +94,22 @@
 		if !known {
 			s.since = now
 		}
-		s.pieces, s.role = r.Pieces, r.Role
+		s.pieces, s.role, s.holder = r.Pieces, r.Role, r.Holder
 		strays[r.ID] = s
-		if now.Sub(s.since) >= g.grace(r.Holder) {
-			g.cancelStray(u.up, r.ID)
-		}
 	}
 	u.setStrays(strays)
+	g.cancelStrays(u, now)
+}
+
+// cancelStrays cancels the attempts without a grant whose grace time is over.
+// The next listing shows whether they are gone.
+func (g *group) cancelStrays(u *upstreamState, now time.Time) {
+	for _, id := range slices.SortedFunc(maps.Keys(u.strays), compareAttempts) {
+		s := u.strays[id]
+		if now.Sub(s.since) >= g.grace(s.holder) {
+			g.cancelStray(u.up, id)
+		}
+	}
 }
 
 // covering returns the grant under which an attempt runs on an upstream.
@@ -127,8 +141,16 @@
 	return strayGraceGone
 }
 
-// cancelStray cancels an attempt that nobody claims. The next listing shows
-// whether it is gone.
+// compareAttempts orders attempts, so that runs under virtual time repeat.
+func compareAttempts(a, b domain.AttemptID) int {
+	return cmp.Or(
+		cmp.Compare(a.Caller, b.Caller),
+		cmp.Compare(a.Request, b.Request),
+		cmp.Compare(a.Attempt, b.Attempt),
+	)
+}
+
+// cancelStray cancels an attempt that nobody claims.
 func (g *group) cancelStray(up domain.Upstream, id domain.AttemptID) {
 	g.keeper.metrics.strays.Add(1)
 	g.keeper.tasks.spawn(func(ctx context.Context) {
--- a/keeper/upstream.go
+++ b/keeper/upstream.go
@@ -54,6 +54,7 @@
 	since  time.Time
 	pieces int
 	role   domain.Role
+	holder domain.HostID
 }
 
 // usable returns whether the upstream may receive grants.
