--- a/keeper/upstream.go
+++ b/keeper/upstream.go
@@ -26,11 +26,18 @@
 // upstreamState is what the keeper knows of an upstream in any role.
 type upstreamState struct {
 	up domain.Upstream
+	// zone is the index of its availability zone in the snapshot.
+	zone int
 	// listed says that the engine answered a listing since the group is kept
 	// here; before that nothing is known of its use.
 	listed bool
-	// listing says that a listing is under way.
-	listing bool
+	// listing says that a listing is under way, and listAgain that another is
+	// wanted after it.
+	listing, listAgain bool
+	// crash is a reported crash that a listing has not confirmed yet.
+	crash *crash
+	// crashedAt is the time of the last reported crash.
+	crashedAt time.Time
 	// failures counts failed calls in a row, failedGrants failed grants.
 	failures, failedGrants int
 	// restUntil is the end of the time for which it receives no grants.
@@ -137,7 +144,7 @@
 func (d *decodeState) snapshot(now time.Time) placement.Decode {
 	return placement.Decode{
 		ID:         d.up.ID,
-		Zone:       d.up.Zone,
+		Zone:       d.zone,
 		Slots:      d.up.Slots,
 		FreeSlots:  d.freeSlots(),
 		Pieces:     d.up.Pieces,
@@ -173,7 +180,7 @@
 func (p *prefillState) snapshot(now time.Time) placement.Prefill {
 	return placement.Prefill{
 		ID:        p.up.ID,
-		Zone:      p.up.Zone,
+		Zone:      p.zone,
 		Position:  p.position,
 		Rate:      float64(p.up.PrefillRate),
 		Queue:     max(0, p.busyUntil.Sub(now)),
