--- a/adapters/platformhttp/client.go
+++ b/adapters/platformhttp/client.go
@@ -26,7 +26,7 @@
 
 const (
 	// DefaultTimeout bounds one call where the configuration has no timeout.
-	DefaultTimeout = 2 * time.Second
+	DefaultTimeout = 10 * time.Second
 	// maxAnswerBytes bounds the size of one answer.
 	maxAnswerBytes = 64 << 20
 	// idleConnections is the number of kept connections per service.
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -18,6 +18,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -30,9 +31,9 @@
 
 const (
 	// commitTimeout bounds one transaction.
-	commitTimeout = 2 * time.Second
+	commitTimeout = 10 * time.Second
 	// readTimeout bounds one read.
-	readTimeout = time.Second
+	readTimeout = 5 * time.Second
 	// sendTimeout bounds a call whose context has no deadline.
 	sendTimeout = time.Minute
 	// firstPause and maxPause bound the mean pauses between tries.
@@ -81,9 +82,12 @@
 	count     claimCounters
 	committer *committer
 	late      *lateOutcomes
-	tries     tries
-	nonce     func() string
-	pause     func(ctx context.Context, d time.Duration) error
+	// running says that Run keeps the outcomes, and wake wakes it.
+	running atomic.Bool
+	wake    chan struct{}
+	tries   tries
+	nonce   func() string
+	pause   func(ctx context.Context, d time.Duration) error
 }
 
 // New returns a claimer.
@@ -98,6 +102,7 @@
 		cfg:   cfg,
 		count: newClaimCounters(cfg.Counters),
 		late:  newLateOutcomes(),
+		wake:  make(chan struct{}, 1),
 		tries: tries{claim: 4, settle: 2, wait: 7},
 		nonce: rand.Text,
 		pause: sleep,
--- a/claims/late.go
+++ b/claims/late.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"greengagespoke/ports"
+	"greengagespoke/storeguard"
 )
 
 const (
@@ -13,8 +15,6 @@
 	maxLate = 4096
 	// latePause is the mean time between tries to keep them.
 	latePause = 2 * time.Second
-	// lateStop bounds the last try when the host stops.
-	lateStop = 5 * time.Second
 )
 
 // lateOutcome is an outcome that is not kept yet.
@@ -23,8 +23,8 @@
 	response ports.ServiceResponse
 }
 
-// lateOutcomes holds outcomes of calls that ran while the store failed. This
-// host answers resends of these calls from here.
+// lateOutcomes holds outcomes that are on their way to the store or wait for it.
+// This host answers resends of these calls from here.
 type lateOutcomes struct {
 	mu    sync.Mutex
 	byKey map[string]lateOutcome
@@ -81,31 +81,46 @@
 	return len(l.byKey)
 }
 
-// Run keeps the outcomes that could not be kept at once, until the context ends.
-// It makes one last try then, and returns nil.
+// Run keeps outcomes, and tries again while the store fails, until the context
+// ends. It makes one last try then, and returns nil.
 func (c *Claimer) Run(ctx context.Context) error {
+	c.running.Store(true)
 	pause := newBackoff()
 	pause.InitialInterval = latePause
 	pause.MaxInterval = latePause
-	for sleep(ctx, pause.NextBackOff()) == nil {
-		c.keepLate(ctx)
+	for ctx.Err() == nil {
+		timer := time.NewTimer(pause.NextBackOff())
+		select {
+		case <-ctx.Done():
+		case <-c.wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+		if !c.keepLate(ctx) {
+			_ = sleep(ctx, pause.NextBackOff())
+		}
 	}
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateStop)
-	defer cancel()
-	c.keepLate(last)
+	c.running.Store(false)
+	c.keepLate(ctx)
 	return nil
 }
 
-// keepLate tries to keep all waiting outcomes. They share transactions.
-func (c *Claimer) keepLate(ctx context.Context) {
+// keepLate tries to keep all waiting outcomes, which share transactions. It
+// returns false where one could not be kept.
+func (c *Claimer) keepLate(ctx context.Context) bool {
+	ctx = storeguard.WithClass(ctx, storeguard.ClassClaims)
 	var wg sync.WaitGroup
+	var failed atomic.Bool
 	for _, late := range c.late.all() {
 		wg.Go(func() {
-			if c.keep(ctx, late.held, late.response, 1) {
-				c.late.remove(late.held.key)
+			if !c.keep(ctx, late.held, late.response, 1) {
+				failed.Store(true)
+				return
 			}
+			c.late.remove(late.held.key)
 		})
 	}
 	wg.Wait()
 	c.count.late.Set(int64(c.late.size()))
+	return !failed.Load()
 }
--- a/claims/settle.go
+++ b/claims/settle.go
@@ -8,16 +8,27 @@
 	"greengagespoke/ports"
 )
 
-// settle keeps the outcome of a call. Where the store fails, the outcome waits
-// in memory for Run: the caller gets the response at once in any case.
+// settle keeps the outcome of a call. With Run, the caller does not wait for it.
+// Without Run, or where there are too many, it is kept at once if the store
+// allows.
 func (c *Claimer) settle(ctx context.Context, held claim, response ports.ServiceResponse) {
-	if c.keep(ctx, held, response, c.tries.settle) {
+	if c.running.Load() && c.addLate(held, response) {
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
 		return
 	}
-	if !c.late.add(held, response) {
-		c.count.unsettled.Add(1)
+	if c.keep(ctx, held, response, c.tries.settle) || c.addLate(held, response) {
+		return
 	}
+	c.count.unsettled.Add(1)
+}
+
+func (c *Claimer) addLate(held claim, response ports.ServiceResponse) bool {
+	added := c.late.add(held, response)
 	c.count.late.Set(int64(c.late.size()))
+	return added
 }
 
 // keep writes the outcome to the claim, within a number of tries.
--- a/storeguard/guard.go
+++ b/storeguard/guard.go
@@ -26,6 +26,9 @@
 	// DefaultReadsPerSecond is the platform's limit for reads where the
 	// configuration has none.
 	DefaultReadsPerSecond = 2000
+	// DefaultExpectedHosts is the least number of hosts that share the limits where
+	// the configuration has none.
+	DefaultExpectedHosts = 9
 	// budgetWait bounds the wait for the budget and the retries after a hit rate
 	// limit.
 	budgetWait = 2 * time.Second
@@ -48,8 +51,9 @@
 	// hosts together; zero means the defaults.
 	WritesPerSecond int
 	ReadsPerSecond  int
-	// ExpectedHosts is the least number of hosts that share the limits, and Hosts
-	// the number that is known now; nil means ExpectedHosts.
+	// ExpectedHosts is the least number of hosts that share the limits; zero means
+	// the default. A host that has just started knows no others yet. Hosts is the
+	// number that is known now; nil means ExpectedHosts.
 	ExpectedHosts int
 	Hosts         func() int
 	Counters      *counters.Set
@@ -78,6 +82,9 @@
 	if cfg.ReadsPerSecond <= 0 {
 		cfg.ReadsPerSecond = DefaultReadsPerSecond
 	}
+	if cfg.ExpectedHosts <= 0 {
+		cfg.ExpectedHosts = DefaultExpectedHosts
+	}
 	if cfg.Counters == nil {
 		cfg.Counters = counters.NewSet()
 	}
@@ -118,7 +125,7 @@
 
 // hosts returns the number of hosts that share the platform's limits.
 func (g *Guard) hosts() int {
-	n := max(1, g.cfg.ExpectedHosts)
+	n := g.cfg.ExpectedHosts
 	if g.cfg.Hosts != nil {
 		n = max(n, g.cfg.Hosts())
 	}
--- a/tables/boot.go
+++ b/tables/boot.go
@@ -18,6 +18,10 @@
 	bootPeers = 3
 	// bootPause is the mean pause between tries at a start.
 	bootPause = time.Second
+	// bootTimeout bounds the first try to read the store at a start; each further
+	// one may take twice as long, up to bootTimeoutMax.
+	bootTimeout    = 2 * time.Second
+	bootTimeoutMax = 30 * time.Second
 	// unconfirmedTries is the number of tries after which a start goes on with
 	// tables that the store could not confirm as its newest.
 	unconfirmedTries = 3
@@ -26,8 +30,10 @@
 // boot brings the first tables to the host. It prefers the store's, confirmed as
 // the newest, and takes the highest revision of several hosts otherwise.
 func (f *Follower) boot(ctx context.Context) {
+	timeout := bootTimeout
 	for try := 1; ctx.Err() == nil; try++ {
-		stored, confirmed := f.bootFromStore(ctx)
+		stored, confirmed := f.bootFromStore(ctx, timeout)
+		timeout = min(2*timeout, bootTimeoutMax)
 		if confirmed {
 			f.finishBoot(stored)
 			return
@@ -62,8 +68,8 @@
 
 // bootFromStore reads the tables. They are confirmed if the head was still the
 // newest in a transaction, which never sees replicas that lag.
-func (f *Follower) bootFromStore(ctx context.Context) (stored *state, confirmed bool) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+func (f *Follower) bootFromStore(ctx context.Context, timeout time.Duration) (stored *state, confirmed bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	pause := newBackoff()
 	for ctx.Err() == nil {
--- a/tables/follower.go
+++ b/tables/follower.go
@@ -20,8 +20,9 @@
 	DefaultPollInterval = 2 * time.Second
 	// pollJitter is the largest relative deviation from the mean.
 	pollJitter = 0.25
-	// storeTimeout bounds one poll.
-	storeTimeout = 2 * time.Second
+	// storeTimeout bounds one poll. It is long, so that a slow store is not taken
+	// for one that is down.
+	storeTimeout = 10 * time.Second
 	// peerTimeout bounds one call to another host.
 	peerTimeout = time.Second
 	// pullLimit is the number of changes asked for in one call.
--- a/tables/follower_test.go
+++ b/tables/follower_test.go
@@ -146,6 +146,21 @@
 	})
 }
 
+// TestStartWithASlowStore starts the first host of all, so that no peer can help.
+func TestStartWithASlowStore(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		p := platform.New(platform.Config{})
+		mustApply(t, NewEditor(EditorConfig{Store: p.Tables()}), edit("e", domain.TablePools, "p", 0, pool("p", "u")))
+		p.SetLatency(4 * time.Second)
+		fl := newFleet(t, p, 1, 0)
+		fl.start(ctx)
+		fl.until(time.Minute, fl.ready)
+		if fl.lowest() != 1 {
+			t.Errorf("started with revision %d, want 1", fl.lowest())
+		}
+	})
+}
+
 // TestUnreadableRowsKeepTheLastGoodValue writes rows as a broken editor would.
 func TestUnreadableRowsKeepTheLastGoodValue(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context) {
