--- a/replay/main_test.go
+++ b/replay/main_test.go
@@ -11,10 +11,13 @@
 	"testing/synctest"
 
 	"k8s.io/klog/v2"
+
+	"greengagespoke/keeper"
 )
 
 var (
 	traceFile   = flag.String("trace-file", "", "trace to replay instead of those in testdata")
+	logs        = flag.Bool("logs", false, "print the log lines of the hosts")
 	policyNames = flag.String("policies", "greengagespoke", "comma-separated policies to run with -trace")
 )
 
@@ -23,7 +26,11 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	klog.LogToStderr(false)
-	klog.SetOutput(io.Discard)
+	if !*logs {
+		klog.SetOutput(io.Discard)
+	} else {
+		klog.SetOutput(os.Stderr)
+	}
 	if file := flag.Lookup("test.trace").Value.String(); isTraceFile(file) {
 		if !filepath.IsAbs(file) {
 			file = filepath.Join(flag.Lookup("test.outputdir").Value.String(), file)
@@ -57,14 +64,21 @@
 	"least-loaded":   LeastLoaded{},
 	"fixed-shares":   FixedShares{},
 	"oracle":         oracle{},
+	"reserve":        Gates{Label: "reserve", Keeper: keeper.ReserveThenPrefill{}},
+	"just-in-time":   Gates{Label: "just-in-time", Keeper: keeper.JustInTime{}},
 }
 
-// replayTrace runs one trace in a bubble of its own.
+// replayTrace runs one trace in a bubble of its own. Policies that only give a
+// goodput to compare with are not run beyond the arrivals.
 func replayTrace(t *testing.T, trace *Trace, policy Policy) Result {
 	t.Helper()
+	run := RunWindow
+	if _, real := policy.(Gates); real {
+		run = Run
+	}
 	var result Result
 	synctest.Test(t, func(t *testing.T) {
-		result = Run(t.Context(), trace, policy)
+		result = run(t.Context(), trace, policy)
 	})
 	return result
 }
@@ -84,6 +98,10 @@
 		if !ok {
 			t.Fatalf("unknown policy %q", name)
 		}
-		fmt.Println(replayTrace(t, trace, policy).JSON())
+		result := replayTrace(t, trace, policy)
+		fmt.Println(result.JSON())
+		for _, problem := range result.Problems {
+			t.Log(problem)
+		}
 	}
 }
