--- a/internal/docstest/counters_test.go
+++ b/internal/docstest/counters_test.go
@@ -14,12 +14,15 @@
 	"testing"
 
 	_ "greengagespoke/adapters/peerrpc"
+	_ "greengagespoke/claims"
 	"greengagespoke/counters"
 	_ "greengagespoke/hostwatch"
 	_ "greengagespoke/keeper"
 	_ "greengagespoke/membership"
 	_ "greengagespoke/placement"
+	_ "greengagespoke/quarantine"
 	_ "greengagespoke/routing"
+	_ "greengagespoke/storeguard"
 	_ "greengagespoke/tables"
 )
 
--- a/tables/follower_test.go
+++ b/tables/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -146,6 +147,26 @@
 	})
 }
 
+// TestNobodyHasTables starts all hosts in an outage. None may say that it is
+// ready before the store is back, as nobody knows what is in force.
+func TestNobodyHasTables(t *testing.T) {
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		p := platform.New(platform.Config{})
+		mustApply(t, NewEditor(EditorConfig{Store: p.Tables()}), edit("e", domain.TablePools, "p", 0, pool("p", "u")))
+		p.SetOutage(true)
+		fl := newFleet(t, p, 3, 0)
+		fl.start(ctx)
+		time.Sleep(time.Minute)
+		for id, h := range fl.hosts {
+			if _, err := h.follower.Snapshot(ctx); h.follower.Ready() || !errors.Is(err, ErrNotReady) {
+				t.Errorf("host %s is ready with revision %d", id, h.follower.Revision())
+			}
+		}
+		p.SetOutage(false)
+		fl.until(5*time.Second, func() bool { return fl.ready() && fl.lowest() == 1 })
+	})
+}
+
 // TestStartWithASlowStore starts the first host of all, so that no peer can help.
 func TestStartWithASlowStore(t *testing.T) {
 	bubble(t, func(t *testing.T, ctx context.Context) {
