--- a/claims/claims.go
+++ b/claims/claims.go
@@ -49,9 +49,12 @@
 	Store   ports.TableService
 	Objects ports.ObjectStore
 	Host    domain.HostID
-	// Clock stamps the claims for operators; nil means the system's clock.
+	// Clock stamps the claims for operators and for the sweep; nil means the
+	// system's clock.
 	Clock    ports.Clock
 	Counters *counters.Set
+	// Retention is how long claims are kept; zero means DefaultRetention.
+	Retention time.Duration
 }
 
 // Call identifies one non-idempotent call.
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -215,6 +215,39 @@
 	})
 }
 
+// ahead is a clock that runs ahead of the machine's.
+type ahead time.Duration
+
+func (a ahead) Now() time.Time { return time.Now().Add(time.Duration(a)) }
+
+// TestOldClaimsAreRemoved has one host with the right clock and one whose clock
+// is a year ahead.
+func TestOldClaimsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := platform.New(platform.Config{})
+		up := &upstream{}
+		var hosts []*Claimer
+		for i, clock := range []ports.Clock{ahead(0), ahead(365 * 24 * time.Hour)} {
+			c := New(Config{Store: p.Tables(), Host: domain.HostID(fmt.Sprint(i)), Clock: clock, Retention: 7 * time.Hour})
+			hosts = append(hosts, c)
+			go func() { _ = c.Run(ctx) }()
+		}
+		for hour := range 10 {
+			expect(t, hosts[0], Call{Caller: "c", Key: fmt.Sprint(hour)}, up, "", "")
+			time.Sleep(time.Hour)
+		}
+		for hour := range 10 {
+			row, err := hosts[0].read(t.Context(), rowKey(Call{Caller: "c", Key: fmt.Sprint(hour)}))
+			if wanted := hour >= 3; err != nil || row.exists != wanted {
+				t.Errorf("claim of hour %d exists: %v, want %v (%v)", hour, row.exists, wanted, err)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestGroupCommit sends many calls at once through a store with latency.
 func TestGroupCommit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/claims/counters.go
+++ b/claims/counters.go
@@ -17,14 +17,15 @@
 	defStoreFailed  = counters.Define("claims_store_failed", "calls refused because the table service gave no answer")
 	defLate         = counters.Define("claims_outcomes_waiting", "outcomes that wait to be kept until the store recovers")
 	defLostAnswers  = counters.Define("claims_lost_answers", "claim writes whose answer was lost")
+	defSwept        = counters.Define("claims_swept", "claims removed because they were older than the retention")
 	defTransactions = counters.Define("claims_transactions", "transactions that carried claims and outcomes")
 	defSplit        = counters.Define("claims_transactions_split", "transactions repeated in halves because one condition did not hold")
 )
 
 // claimCounters are the counters of one claimer.
 type claimCounters struct {
-	claimed, repeated, unknown, duplicates, released                      *expvar.Int
-	unsettled, stuck, late, storeFailed, lostAnswers, transactions, split *expvar.Int
+	claimed, repeated, unknown, duplicates, released                             *expvar.Int
+	unsettled, stuck, late, storeFailed, lostAnswers, transactions, split, swept *expvar.Int
 }
 
 func newClaimCounters(set *counters.Set) claimCounters {
@@ -40,6 +41,7 @@
 		storeFailed:  set.Int(defStoreFailed),
 		lostAnswers:  set.Int(defLostAnswers),
 		transactions: set.Int(defTransactions),
+		swept:        set.Int(defSwept),
 		split:        set.Int(defSplit),
 	}
 }
--- a/claims/late.go
+++ b/claims/late.go
@@ -81,9 +81,19 @@
 	return len(l.byKey)
 }
 
-// Run keeps outcomes, and tries again while the store fails, until the context
-// ends. It makes one last try then, and returns nil.
+// Run keeps outcomes, tries again while the store fails, and removes old claims,
+// until the context ends. It makes one last try to keep outcomes then, and
+// returns nil.
 func (c *Claimer) Run(ctx context.Context) error {
+	var loops sync.WaitGroup
+	loops.Go(func() { c.sweepLoop(ctx) })
+	defer loops.Wait()
+	c.keepLoop(ctx)
+	return nil
+}
+
+// keepLoop keeps outcomes until the context ends.
+func (c *Claimer) keepLoop(ctx context.Context) {
 	c.running.Store(true)
 	pause := newBackoff()
 	pause.InitialInterval = latePause
@@ -102,7 +112,6 @@
 	}
 	c.running.Store(false)
 	c.keepLate(ctx)
-	return nil
 }
 
 // keepLate tries to keep all waiting outcomes, which share transactions. It
