--- a/host/host.go
+++ b/host/host.go
@@ -77,6 +77,7 @@
 	Tables     *tables.Follower
 	Quarantine *quarantine.List
 	watch      *hostwatch.Watch
+	claims     *claims.Claimer
 	refusing   atomic.Bool
 }
 
@@ -127,7 +128,14 @@
 		Quarantine: h.Quarantine,
 		Scope:      cfg.Scope,
 	})
-	h.Gate = h.newGate(peers, guard)
+	h.claims = claims.New(claims.Config{
+		Store:    store,
+		Objects:  guard.Objects(),
+		Host:     cfg.Self.ID,
+		Clock:    cfg.Clock,
+		Counters: cfg.Counters,
+	})
+	h.Gate = h.newGate(peers)
 	peers.Peers = cfg.MakePeers(Local{
 		Keeper:     h.Keeper,
 		Gossip:     h.Membership,
@@ -139,23 +147,17 @@
 	return h
 }
 
-func (h *Host) newGate(peers ports.Peers, guard *storeguard.Guard) *routing.Gate {
+func (h *Host) newGate(peers ports.Peers) *routing.Gate {
 	return routing.New(routing.Config{
 		Tables:     h.Tables,
 		Membership: h.Membership,
 		Peers:      peers,
 		Upstreams:  h.cfg.Upstreams,
 		Quarantine: h.Quarantine,
-		Claims: claims.New(claims.Config{
-			Store:    guard.Tables(),
-			Objects:  guard.Objects(),
-			Host:     h.cfg.Self.ID,
-			Clock:    h.cfg.Clock,
-			Counters: h.cfg.Counters,
-		}),
-		Leaving:  h.watch,
-		Counters: h.cfg.Counters,
-		Scope:    h.cfg.Scope,
+		Claims:     h.claims,
+		Leaving:    h.watch,
+		Counters:   h.cfg.Counters,
+		Scope:      h.cfg.Scope,
 	})
 }
 
@@ -164,7 +166,7 @@
 	defer h.Gate.Close()
 	loops, ctx := errgroup.WithContext(ctx)
 	for _, run := range []func(context.Context) error{
-		h.watch.Run, h.Membership.Run, h.Tables.Run, h.Keeper.Run, h.Gate.Run, h.announceRevision,
+		h.watch.Run, h.Membership.Run, h.Tables.Run, h.Keeper.Run, h.Gate.Run, h.claims.Run, h.announceRevision,
 	} {
 		loops.Go(func() error { return run(ctx) })
 	}
