Order engines to what the pools table asks for

Cause: nothing brought engines to the model, adapter, version and role of their pool's row.

Change: package orders lets the holder of a lease per pool and availability zone send absolute, idempotent orders with the lease's term as the fencing number. The lease is checked right before each order; where engines do not check the number, a new holder waits out the longest flight of an order first, and every engine gets its order again with each new holder and every 5 minutes. Loads take turns by leases of the pool and of a load slot that last as long as the longest load, and never take a pool below its serving minimum. Busy engines may finish for a minute. Roles follow a lasting imbalance of measured load, by compare-and-set edits of the pool's row within its bounds.

Tests under virtual time with the platform's stand-in: rollout with lost answers, serving minimum, holder paused beyond the expiry with engines that check and ignore the fence, outage, holder cut off from the store, leaving engines, busy engines, and roles under short and lasting imbalance.

--- a/orders/lease/lease.go
+++ b/orders/lease/lease.go
@@ -151,6 +151,12 @@
 	return l.write(ctx, term, l.cfg.Holder)
 }
 
+// Watch reads the row without taking the lease, so that the wait for its expiry
+// begins.
+func (l *Lease) Watch(ctx context.Context) error {
+	return l.read(ctx)
+}
+
 // Release frees the lease, so that the next holder need not wait. It must only be
 // called when no action of this holder is in flight.
 func (l *Lease) Release(ctx context.Context) error {
--- /dev/null
+++ b/orders/orders_test.go
@@ -0,0 +1,257 @@
+package orders
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"greengagespoke/domain"
+	"greengagespoke/orders/lease"
+	"greengagespoke/ports"
+)
+
+// takeover bounds the time from the last renewal of a lease to the first order of
+// the next holder.
+const takeover = lease.DefaultDuration + lease.DefaultDuration/2 + DefaultOrderFlight + 5*tick
+
+func TestRolloutTakesTurnsAndKeepsTheMinimum(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t, 6, checks)
+			b.pool.ServingMinimum = 5
+			for _, e := range b.engines {
+				e.loadTime = 20 * time.Second
+			}
+			b.platform.SetAnswerLoss(0.1)
+			b.run()
+			b.await("orders confirmed", 3*time.Minute, func() bool { return b.ordered() == 6 })
+			b.edit(func(p *domain.Pool) { p.Version = 2 })
+			b.await("all at the new version", 20*time.Minute, func() bool {
+				if n := b.loading(); n > 1 {
+					t.Fatalf("%d engines load at a time; the pool keeps 5 of 6", n)
+				}
+				return b.at(2)
+			})
+			b.checkFences()
+		})
+	}
+}
+
+// ordered returns the number of engines that got an order.
+func (b *bench) ordered() int {
+	n := 0
+	for _, e := range b.engines {
+		e.set(func() { n += min(1, len(e.received)) })
+	}
+	return n
+}
+
+// checkFences checks that the fencing numbers that engines accepted never went
+// back.
+func (b *bench) checkFences() {
+	b.t.Helper()
+	for id, e := range b.engines {
+		last := int64(0)
+		for _, r := range e.received {
+			if r.order.Fence < last {
+				b.t.Errorf("engine %s accepted fence %d after %d", id, r.order.Fence, last)
+			}
+			last = r.order.Fence
+		}
+	}
+}
+
+func TestNothingBelowTheMinimum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 4, true)
+		b.pool.ServingMinimum = 3
+		dead := b.engines["e3"]
+		dead.load.FreePieces = -1
+		b.run()
+		b.edit(func(p *domain.Pool) { p.Version = 2 })
+		time.Sleep(5 * time.Minute)
+		if n := b.ordered(); n != 0 {
+			t.Errorf("%d engines got an order while only the minimum answered", n)
+		}
+		dead.set(func() { dead.load.FreePieces = 100 })
+		b.await("rollout goes on", 5*time.Minute, func() bool { return b.at(2) })
+	})
+}
+
+// TestPausedHolderWakesAfterExpiry lets the holder of one zone check its lease, then
+// pauses it beyond the expiry, so that its order arrives after its successor's.
+func TestPausedHolderWakesAfterExpiry(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBench(t, 2, checks)
+			b.members = b.members[:3]
+			paused := scope{"p", "z-1"}.candidates(b.members)[0]
+			successor := scope{"p", "z-1"}.candidates(b.members)[1]
+			b.start(paused)
+			b.await("first order", time.Minute, func() bool { return len(b.engines["e0"].orders()) > 0 })
+			// The load permit of the paused holder expires after benchLoadTimeout.
+			const pause = 2*benchLoadTimeout + takeover
+			b.set(func() { b.pause[paused] = pause })
+			b.edit(func(p *domain.Pool) { p.Version = 2 })
+			time.Sleep(3 * time.Second)
+			b.set(func() { b.cutOff[paused] = true })
+			b.edit(func(p *domain.Pool) { p.Version = 3 })
+			began := time.Now()
+			b.start(successor)
+			b.await("the successor's order", benchLoadTimeout+takeover, func() bool { return b.engines["e0"].version() == 3 })
+			if took := time.Since(began); !checks && took < DefaultOrderFlight {
+				t.Errorf("the successor ordered an engine that checks no fence after %v", took)
+			}
+			time.Sleep(pause)
+			late := false
+			for _, r := range b.engines["e0"].orders() {
+				late = late || r.order.Version == 2
+			}
+			if late == checks {
+				t.Errorf("engine checks fences: %v, but the late order took effect: %v", checks, late)
+			}
+			b.await("repaired", resendAfter+time.Minute, func() bool { return b.engines["e0"].version() == 3 })
+			if checks {
+				b.checkFences()
+			}
+		})
+	}
+}
+
+func (e *fakeEngine) orders() []receivedOrder {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]receivedOrder(nil), e.received...)
+}
+
+func (e *fakeEngine) version() int {
+	order, _ := e.state()
+	return order.Version
+}
+
+func TestOutageStopsOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 4, false)
+		b.run()
+		b.await("orders confirmed", 3*time.Minute, func() bool { return b.ordered() == 4 })
+		b.platform.SetOutage(true)
+		time.Sleep(lease.DefaultDuration)
+		b.edit(func(p *domain.Pool) { p.Version = 2 })
+		time.Sleep(10 * time.Minute)
+		for id, e := range b.engines {
+			if e.version() != 1 {
+				t.Errorf("engine %s was ordered without a lease", id)
+			}
+		}
+		b.platform.SetOutage(false)
+		b.await("rollout after the outage", 2*takeover, func() bool { return b.at(2) })
+	})
+}
+
+func TestHolderCutOffFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, true)
+		b.run()
+		b.await("orders confirmed", 3*time.Minute, func() bool { return b.ordered() == 2 })
+		b.set(func() { b.cutOff[scope{"p", "z-1"}.candidates(b.members)[0]] = true })
+		time.Sleep(lease.DefaultDuration)
+		b.edit(func(p *domain.Pool) { p.Version = 2 })
+		b.await("rollout by the other host", 2*takeover, func() bool { return b.at(2) })
+		b.checkFences()
+	})
+}
+
+func TestLeavingEngineGetsNoOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 4, true)
+		b.platform.SetHost(ports.ListedHost{Name: "e2", Zone: "z-1", Leaving: true})
+		b.run()
+		b.await("the others have orders", time.Minute, func() bool { return b.ordered() == 3 })
+		time.Sleep(time.Minute)
+		if len(b.engines["e2"].orders()) != 0 {
+			t.Error("a leaving engine got an order")
+		}
+	})
+}
+
+func TestBusyEngineFinishesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, true)
+		b.run()
+		b.await("orders confirmed", time.Minute, func() bool { return b.ordered() == 2 })
+		e := b.engines["e0"]
+		e.set(func() { e.load.Running = 3 })
+		b.edit(func(p *domain.Pool) { p.Version = 2 })
+		time.Sleep(30 * time.Second)
+		if e.version() != 1 {
+			t.Error("a busy engine was ordered to load at once")
+		}
+		e.set(func() { e.load.Running = 0 })
+		b.await("ordered once idle", 10*time.Second, func() bool { return b.at(2) })
+	})
+}
+
+func TestRolesFollowALastingImbalance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 8, true)
+		b.pool.MinPrefill, b.pool.MaxPrefill = 1, 3
+		b.run()
+		b.await("orders confirmed", 3*time.Minute, func() bool { return b.ordered() == 8 })
+		// A queue that comes and goes changes nothing.
+		for range 10 {
+			b.setQueue(5000)
+			time.Sleep(sustain / 2)
+			b.setQueue(0)
+			time.Sleep(sustain / 2)
+		}
+		if n := b.prefill(); n != 2 {
+			t.Fatalf("%d prefill engines after short imbalances, want 2", n)
+		}
+		b.setQueue(5000)
+		b.await("one more prefill engine", 2*sustain, func() bool { return b.prefill() == 3 })
+		b.await("the engine has its order", 10*time.Second, func() bool { return b.servingPrefill() == 3 })
+		time.Sleep(10 * time.Minute)
+		if n := b.prefill(); n != 3 {
+			t.Errorf("%d prefill engines, more than the row allows", n)
+		}
+		b.setQueue(0)
+		for _, e := range b.engines {
+			e.set(func() { e.load.Running = 20 })
+		}
+		b.await("back to the smallest number", 20*time.Minute, func() bool { return b.prefill() == 1 })
+		time.Sleep(10 * time.Minute)
+		if n := b.prefill(); n != 1 {
+			t.Errorf("%d prefill engines, fewer than the row allows", n)
+		}
+	})
+}
+
+func (b *bench) setQueue(tokens int) {
+	for _, e := range b.engines {
+		e.set(func() { e.load.QueuedTokens = tokens })
+	}
+}
+
+// prefill returns the number of prefill engines in the pool's row.
+func (b *bench) prefill() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, up := range b.pool.Upstreams {
+		if up.Role == domain.RolePrefill {
+			n++
+		}
+	}
+	return n
+}
+
+// servingPrefill returns the number of engines that are in the prefill role.
+func (b *bench) servingPrefill() int {
+	n := 0
+	for _, e := range b.engines {
+		if order, _ := e.state(); order.Role == domain.RolePrefill {
+			n++
+		}
+	}
+	return n
+}
