Rest the pair of a failed grant before its upstreams

Cause: a stalled link between two upstreams, or one bad prefill upstream, made three grants in a row fail on each decode upstream too, and all of them rested for 5 s. A gate that sent again got the stalled pair again. Change: a pair rests for 5 s after a failed grant, while both upstreams work with others; of a pair only the upstream with more failures in a row is taken out.

--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -126,7 +126,7 @@
 		e.HeldBack = true
 		return false
 	}
-	pair, ok := g.decide(w)
+	pair, ok := g.decide(w, now)
 	if !ok {
 		e.HeldBack = w.req.Suspect || len(w.req.Avoid) > 0
 		g.reserve(w)
@@ -142,7 +142,7 @@
 }
 
 // decide chooses the upstreams of a waiting request.
-func (g *group) decide(w *waiter) (placement.Pair, bool) {
+func (g *group) decide(w *waiter, now time.Time) (placement.Pair, bool) {
 	for i, d := range g.decode {
 		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
 	}
@@ -150,7 +150,7 @@
 	if w.req.Suspect {
 		req.Avoid = g.avoidCrashed(&w.req)
 	}
-	return g.scheduler.Decide(&g.snap, req, &g.decision)
+	return g.decideApart(req, now)
 }
 
 func (g *group) placementRequest(req *domain.PlaceRequest) *placement.Request {
--- a/keeper/grants.go
+++ b/keeper/grants.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"greengagespoke/domain"
 )
 
@@ -98,20 +96,15 @@
 	if gr.promised {
 		return
 	}
-	for _, u := range g.upstreams() {
-		if u.up.ID != gr.Decode && u.up.ID != gr.Prefill {
-			continue
-		}
-		switch reason {
-		case domain.ReleaseDone:
-			u.failedGrants = 0
-		case domain.ReleaseFailed:
-			if u.grantFailed(now) {
-				g.keeper.metrics.tookOut.Add(1)
-				klog.InfoS("upstream rests after failed grants", "upstream", u.up.ID, "group", g.id)
+	switch reason {
+	case domain.ReleaseDone:
+		for _, u := range g.upstreams() {
+			if u.up.ID == gr.Decode || u.up.ID == gr.Prefill {
+				u.failedGrants = 0
 			}
-			g.list(u)
 		}
+	case domain.ReleaseFailed:
+		g.judgeFailure(gr, now)
 	}
 }
 
@@ -167,6 +160,7 @@
 		g.keeper.metrics.expired.Add(1)
 		g.revoke(gr, 0)
 	}
+	g.forgetPairs(now)
 	for _, w := range g.abandoned(now) {
 		g.keeper.metrics.dropped.Add(1)
 		g.finish(w, domain.Grant{}, refuseWithdrawn())
--- a/keeper/group.go
+++ b/keeper/group.go
@@ -39,6 +39,8 @@
 	ended map[domain.AttemptID]time.Time
 	lost  map[domain.GrantID]time.Time
 	queue *fairqueue.Queue[*waiter]
+	// pairRests holds the pairs whose last grant failed, and until when they rest.
+	pairRests map[pairKey]time.Time
 	// suspects counts the grants of suspect requests by fingerprint.
 	suspects map[uint64]int
 	// refused are waiting requests that were found not to run while they were
@@ -104,6 +106,7 @@
 		lengths:   make(map[domain.RouteName]*lengths),
 		index:     index,
 		scheduler: placement.NewScheduler(index),
+		pairRests: make(map[pairKey]time.Time),
 	}
 	g.update(def)
 	return g
--- a/keeper/upstream.go
+++ b/keeper/upstream.go
@@ -61,16 +61,10 @@
 	return u.listed && !u.leaving && u.failures < failureBound && !now.Before(u.restUntil)
 }
 
-// grantFailed notes a grant that ended by a failure and returns whether the
-// upstream was taken out for it.
-func (u *upstreamState) grantFailed(now time.Time) bool {
-	u.failedGrants++
-	if u.failedGrants < failedGrantBound {
-		return false
-	}
+// rest takes the upstream out for a while after failed grants.
+func (u *upstreamState) rest(now time.Time) {
 	u.failedGrants = 0
 	u.restUntil = now.Add(restTime)
-	return true
 }
 
 // setStrays replaces the attempts that no grant covers.
