--- a/replay/caller.go
+++ b/replay/caller.go
@@ -94,7 +94,7 @@
 
 // sendsAgain says whether the caller tries again after a failure.
 func (c *call) sendsAgain(try int) bool {
-	if c.tokens > 0 || c.refusal.Ran != domain.RanNo {
+	if c.tokens > 0 || c.refusal.Ran != domain.RanNo && !c.refused() {
 		return try < max(resumeTries, c.arrival.Resends)
 	}
 	return try < c.arrival.Resends
--- a/standin/engine/ledger.go
+++ b/standin/engine/ledger.go
@@ -11,6 +11,7 @@
 type Ledger struct {
 	mu         sync.Mutex
 	prefills   map[string]*prefillRecord
+	began      map[domain.RequestKey]bool
 	left       map[domain.RequestKey]time.Time
 	executions map[domain.RequestKey]int
 }
@@ -36,6 +37,7 @@
 func newLedger() *Ledger {
 	return &Ledger{
 		prefills:   make(map[string]*prefillRecord),
+		began:      make(map[domain.RequestKey]bool),
 		left:       make(map[domain.RequestKey]time.Time),
 		executions: make(map[domain.RequestKey]int),
 	}
@@ -45,6 +47,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.prefills[kv.handle] = &prefillRecord{key: kv.id.Key(), started: time.Now()}
+	l.began[kv.id.Key()] = true
 }
 
 func (l *Ledger) prefillEnded(kv kvCache, tokens int) {
@@ -78,6 +81,13 @@
 	}
 }
 
+// Began says whether any engine began to work on a request.
+func (l *Ledger) Began(key domain.RequestKey) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.began[key]
+}
+
 // Executions returns how many attempts at a request emitted tokens.
 func (l *Ledger) Executions(key domain.RequestKey) int {
 	l.mu.Lock()
