Do not tell a resend that its request did not run

Cause: a resend that was refused at once, by the quarantine or as a duplicate, was told ran: no, although an earlier send had run. Change: such refusals say ran: unknown.

--- a/routing/fakes_test.go
+++ b/routing/fakes_test.go
@@ -133,15 +133,22 @@
 
 func (p fakePeers) Keeper(domain.HostID) ports.Keeper { return p.keeper }
 
-// fakeQuarantine records crashes and refuses nothing.
+// fakeQuarantine records crashes. It refuses everything while refusing is set.
 type fakeQuarantine struct {
-	mu      sync.Mutex
-	crashed []domain.UpstreamID
+	mu       sync.Mutex
+	crashed  []domain.UpstreamID
+	refusing bool
 }
 
-func (q *fakeQuarantine) Check(uint64) *domain.Refusal { return nil }
-func (q *fakeQuarantine) Suspect(uint64) bool          { return false }
-func (q *fakeQuarantine) Finished(uint64)              {}
+func (q *fakeQuarantine) Suspect(uint64) bool { return false }
+func (q *fakeQuarantine) Finished(uint64)     {}
+
+func (q *fakeQuarantine) Check(uint64) *domain.Refusal {
+	if q.refusing {
+		return domain.Refuse(domain.RefusalQuarantined, "it crashes upstreams", "change it")
+	}
+	return nil
+}
 
 func (q *fakeQuarantine) Crashed(up domain.UpstreamID, _ []uint64) {
 	q.mu.Lock()
--- a/routing/gate.go
+++ b/routing/gate.go
@@ -116,13 +116,13 @@
 func (g *Gate) complete(ctx context.Context, c *domain.Completion, deliver DeliverFunc) error {
 	f, err := g.newFlight(c, deliver)
 	if err != nil {
-		return err
+		return truthful(c, err)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.cancel = cancel
 	if err := g.register(f); err != nil {
-		return err
+		return truthful(c, err)
 	}
 	defer g.unregister(f)
 	if timeout := f.route.Timeout.D(); timeout > 0 {
@@ -133,6 +133,19 @@
 	return f.run(ctx)
 }
 
+// truthful corrects what a refusal given at once says of the request: an earlier
+// send of it may have run.
+func truthful(c *domain.Completion, err error) error {
+	refusal, ok := domain.AsRefusal(err)
+	if !ok {
+		return err
+	}
+	if c.Attempt > 1 || refusal.Kind == domain.RefusalDuplicate {
+		return refusal.WithRan(domain.RanUnknown)
+	}
+	return refusal
+}
+
 func (g *Gate) countOutcome(err error) {
 	if err == nil {
 		g.count.answered.Add(1)
--- a/routing/gate_test.go
+++ b/routing/gate_test.go
@@ -140,7 +140,10 @@
 		firstErr := make(chan error, 1)
 		go func() { firstErr <- r.gate.Complete(t.Context(), request("r1", 1), first.deliver) }()
 		time.Sleep(500 * time.Millisecond)
-		checkRefusal(t, r.gate.Complete(t.Context(), request("r1", 1), second.deliver), domain.RefusalDuplicate)
+		refusal := checkRefusal(t, r.gate.Complete(t.Context(), request("r1", 1), second.deliver), domain.RefusalDuplicate)
+		if refusal.Ran != domain.RanUnknown {
+			t.Errorf("duplicate of a running request says ran: %s", refusal.Ran)
+		}
 		if err := r.gate.Complete(t.Context(), request("r1", 2), second.deliver); err != nil {
 			t.Fatal(err)
 		}
@@ -206,6 +209,22 @@
 	})
 }
 
+// TestRefusalOfAResendMayHaveRun checks that a resend is not told that the request
+// did not run, as an earlier send may have run elsewhere.
+func TestRefusalOfAResendMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, testTokens, engine.FrameFaults{})
+		r.quarantine.refusing = true
+		for attempt, want := range map[int]domain.Ran{1: domain.RanNo, 2: domain.RanUnknown} {
+			var a answer
+			err := r.gate.Complete(t.Context(), request("r1", attempt), a.deliver)
+			if refusal := checkRefusal(t, err, domain.RefusalQuarantined); refusal.Ran != want {
+				t.Errorf("attempt %d: ran is %s, want %s", attempt, refusal.Ran, want)
+			}
+		}
+	})
+}
+
 func TestLostGrantLeadsToANewAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 4*testTokens, engine.FrameFaults{})
