Bind promised places late: the gate asks again after the prefill

Cause: the gate took a promise for a place, so just-in-time grants found the upstream full and their prefill results expired. The keeper bound each promise to one upstream, where the next release may be seconds away. Change: the gate asks the keeper again once the prefill has ended; the keeper gives such a request the first free place of the whole group, before places that are promised to requests which still prefill. One promise per upstream at a time.

--- a/keeper/policy.go
+++ b/keeper/policy.go
@@ -46,7 +46,7 @@
 	// ends of the grants are independent.
 	defaultSafety = 2
 	// maxPromises bounds the promised places of one upstream.
-	maxPromises = 2
+	maxPromises = 1
 	// promiseHorizon is the farthest release that is promised. It is less than
 	// the life of a prefill result.
 	promiseHorizon = 800 * time.Millisecond
--- a/keeper/promise.go
+++ b/keeper/promise.go
@@ -1,7 +1,6 @@
 package keeper
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -36,64 +35,79 @@
 	return d.freeSlots()+len(d.promises) > 0 && d.freePieces()+d.promisedPieces >= g.Pieces
 }
 
-// confirmPromises gives free places to the grants that were promised them, the
-// oldest first, before any new request receives one.
+// confirmPromises gives free places to promised grants before any new request
+// receives one. Grants whose prefill has ended, so that their gates ask for the
+// place, take the first free place of the group; the others wait for their own
+// upstream, the oldest first.
 func (g *group) confirmPromises(now time.Time) {
+	for _, gr := range g.askedPromises() {
+		if to := g.freePlace(gr, now); to != nil {
+			g.keepPromise(gr, now)
+			g.move(gr, to)
+		}
+	}
 	for _, d := range g.decode {
 		for len(d.promises) > 0 && d.hasPlace(d.promises[0]) {
-			gr := d.promises[0]
-			d.unpromise(gr)
-			gr.DecodeIn = 0
-			if now.After(gr.due) {
-				g.keeper.metrics.promisesLate.Add(1)
-			}
+			g.keepPromise(d.promises[0], now)
 		}
 	}
-	g.movePromises(now)
 }
 
-// movePromises gives overdue promised grants a free place on another upstream.
-// Only grants whose gate asks for the place are moved, as the gate must learn
-// of it before it starts the transfer.
-func (g *group) movePromises(now time.Time) {
-	var overdue []*grant
+// askedPromises returns the promised grants that gates wait for, in order of
+// their predicted times.
+func (g *group) askedPromises() []*grant {
+	var asked []*grant
 	for _, d := range g.decode {
 		for _, gr := range d.promises {
-			if gr.asking > 0 && now.After(gr.due) {
-				overdue = append(overdue, gr)
+			if gr.asking > 0 {
+				asked = append(asked, gr)
 			}
 		}
 	}
-	slices.SortStableFunc(overdue, func(a, b *grant) int { return a.due.Compare(b.due) })
-	for _, gr := range overdue {
-		if to := g.freePlace(gr, now); to != nil {
-			g.move(gr, to)
-		}
+	slices.SortStableFunc(asked, func(a, b *grant) int { return a.due.Compare(b.due) })
+	return asked
+}
+
+// keepPromise gives a promised grant its place.
+func (g *group) keepPromise(gr *grant, now time.Time) {
+	if d, ok := g.byDecode[gr.Decode]; ok {
+		d.unpromise(gr)
+	}
+	gr.DecodeIn = 0
+	if now.After(gr.due) {
+		g.keeper.metrics.promisesLate.Add(1)
 	}
 }
 
-// freePlace returns the decode upstream with the most free slots that can take
-// a grant at once.
+// freePlace returns the decode upstream that can take a promised grant at once:
+// its own, or else the one with the most free slots. Places that are promised to
+// grants whose gates do not ask yet count as free.
 func (g *group) freePlace(gr *grant, now time.Time) *decodeState {
 	var best *decodeState
 	for _, d := range g.decode {
-		if d.freeSlots() <= 0 || d.freePieces() < gr.Pieces || !d.usable(now) || d.reservedFor != nil {
+		if !d.hasPlace(gr) || !d.usable(now) {
 			continue
 		}
-		if slices.Contains(gr.avoid, d.up.ID) || (gr.Suspect && d.suspects > 0) {
+		if d.up.ID == gr.Decode {
+			return d
+		}
+		if d.reservedFor != nil || slices.Contains(gr.avoid, d.up.ID) || (gr.Suspect && d.suspects > 0) {
 			continue
 		}
-		if best == nil || cmp.Compare(d.freeSlots(), best.freeSlots()) > 0 {
+		if best == nil || d.freeSlots() > best.freeSlots() {
 			best = d
 		}
 	}
 	return best
 }
 
+// move takes a confirmed grant to another decode upstream.
 func (g *group) move(gr *grant, to *decodeState) {
+	if gr.Decode == to.up.ID {
+		return
+	}
 	g.byDecode[gr.Decode].give(gr)
 	gr.Decode = to.up.ID
-	gr.DecodeIn = 0
 	to.take(gr)
 	g.keeper.metrics.promisesMoved.Add(1)
 }
--- a/replay/gates.go
+++ b/replay/gates.go
@@ -130,6 +130,20 @@
 // KillHost implements Fleet.
 func (f *gateFleet) KillHost(host domain.HostID) { f.hosts[host].cancel() }
 
+// Counters returns the sums of the hosts' own counters. They explain a result, but
+// no measure is taken from them.
+func (f *gateFleet) Counters() map[string]int64 {
+	sums := make(map[string]int64)
+	for _, def := range counters.Catalogue() {
+		for _, h := range f.hosts {
+			if n := h.counters.Int(def).Value(); n != 0 {
+				sums[def.Name] += n
+			}
+		}
+	}
+	return sums
+}
+
 // Stop implements Fleet.
 func (f *gateFleet) Stop() {
 	for _, h := range f.hosts {
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -30,6 +30,8 @@
 	// Problems describes the requests that were answered twice or wrongly, lost,
 	// or left in memory.
 	Problems []string `json:"-"`
+	// Counters are the hosts' own counters, to explain the result.
+	Counters map[string]int64 `json:"-"`
 }
 
 // Measures are the figures of a set of requests.
--- a/replay/run.go
+++ b/replay/run.go
@@ -66,6 +66,9 @@
 	}
 	result := measure(r, calls)
 	result.Policy = policy.Name()
+	if gates, ok := r.fleet.(*gateFleet); ok {
+		result.Counters = gates.Counters()
+	}
 	return result
 }
 
--- a/routing/flight.go
+++ b/routing/flight.go
@@ -151,7 +151,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f.gate.hold(place, cancel)
-	err = f.serve(ctx, place)
+	err = f.serve(ctx, &place)
 	f.finish(place, err)
 	return err
 }
@@ -165,15 +165,19 @@
 }
 
 // serve runs prefill, transfer and decode on a granted place.
-func (f *flight) serve(ctx context.Context, p place) error {
-	result, err := f.prefill(ctx, p)
+func (f *flight) serve(ctx context.Context, p *place) error {
+	result, err := f.prefill(ctx, *p)
 	if err != nil {
 		return err
 	}
-	if err := f.transfer(ctx, p, result); err != nil {
+	expiry := time.Now().Add(result.ExpiresIn)
+	if err := f.confirm(ctx, p, expiry); err != nil {
 		return err
 	}
-	return f.decode(ctx, p)
+	if err := f.transfer(ctx, *p, result, expiry); err != nil {
+		return err
+	}
+	return f.decode(ctx, *p)
 }
 
 // prefill computes the KV cache of the prompt and of what was delivered.
--- a/routing/transfer.go
+++ b/routing/transfer.go
@@ -19,8 +19,7 @@
 
 // transfer moves a prefill result to the decode upstream within the result's
 // lifetime. A stalled transfer is tried once more.
-func (f *flight) transfer(ctx context.Context, p place, result ports.PrefillResult) error {
-	expiry := time.Now().Add(result.ExpiresIn)
+func (f *flight) transfer(ctx context.Context, p place, result ports.PrefillResult, expiry time.Time) error {
 	ctx, stop := context.WithDeadlineCause(ctx, expiry, errResultExpired)
 	defer stop()
 	stalls := 0
