Bound promises by the measured release rate, let late transfers end

Cause: with six promises open the last place came after the prefill result had expired, and a transfer that began late was cut at the expiry although the engine keeps a result while it is transferred. Just-in-time is the keeper's default, with a safety of 0.5.

--- a/keeper/config.go
+++ b/keeper/config.go
@@ -60,7 +60,7 @@
 	// HostList shows upstreams that are leaving. It may be nil.
 	HostList ports.HostList
 	Counters *counters.Set
-	// Policy decides when places are promised; nil means ReserveThenPrefill.
+	// Policy decides when places are promised; nil means JustInTime.
 	Policy Policy
 	// GatePeers lets a gate end an attempt that a newer one replaces. It may be
 	// nil: then the attempt is canceled on its engines only.
--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -88,7 +88,7 @@
 // freeing returns the releases of a full decode upstream that may be promised.
 func (g *group) freeing(d *decodeState, now time.Time) []placement.Freeing {
 	policy := g.keeper.cfg.Policy
-	if !policy.LooksAhead() || d.freeSlots() > 0 {
+	if !policy.LooksAhead() || d.freeSlots() > 0 || g.promisesLeft(now) <= 0 {
 		return nil
 	}
 	g.ends = g.ends[:0]
@@ -220,8 +220,7 @@
 	g.countSuspect(gr, 1)
 	if pair.DecodeIn > 0 {
 		gr.due = now.Add(pair.DecodeIn)
-		d.promise(gr)
-		g.keeper.metrics.promises.Add(1)
+		g.promise(d, gr, now)
 	}
 	p.plan(now, pair, w.req.Suspect)
 	g.index.Expect(p.position, w.req.PieceKeys)
--- a/keeper/grants.go
+++ b/keeper/grants.go
@@ -98,6 +98,7 @@
 	}
 	switch reason {
 	case domain.ReleaseDone:
+		g.releases.add(now)
 		for _, u := range g.upstreams() {
 			if u.up.ID == gr.Decode || u.up.ID == gr.Prefill {
 				u.failedGrants = 0
--- a/keeper/group.go
+++ b/keeper/group.go
@@ -39,6 +39,8 @@
 	ended map[domain.AttemptID]time.Time
 	lost  map[domain.GrantID]time.Time
 	queue *fairqueue.Queue[*waiter]
+	// releases measures how often places become free.
+	releases releaseRate
 	// pairRests holds the pairs whose last grant failed, and until when they rest.
 	pairRests map[pairKey]time.Time
 	// suspects counts the grants of suspect requests by fingerprint.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -50,7 +50,7 @@
 // to expire and for the engines' reports to be read.
 func New(cfg Config) *Keeper {
 	if cfg.Policy == nil {
-		cfg.Policy = ReserveThenPrefill{}
+		cfg.Policy = JustInTime{}
 	}
 	if cfg.Scope == "" {
 		cfg.Scope = groups.ScopeRegion
--- a/keeper/policy.go
+++ b/keeper/policy.go
@@ -42,9 +42,9 @@
 }
 
 const (
-	// defaultSafety makes a promise hold with a probability of 1-1/e^2 where the
-	// ends of the grants are independent.
-	defaultSafety = 2
+	// defaultSafety promises a release for half the expected time until one of the
+	// upstream, as a promised request takes the first free place of the group.
+	defaultSafety = 0.5
 	// maxPromises bounds the promised places of one upstream.
 	maxPromises = 1
 	// promiseHorizon is the farthest release that is promised. It is less than
@@ -60,7 +60,7 @@
 // rate is the sum of the inverse expected times until its grants end; the k-th
 // release is promised for Safety*k over that rate.
 type JustInTime struct {
-	// Safety stretches the predicted times; zero means 2.
+	// Safety stretches the predicted times; zero means 0.5.
 	Safety float64
 }
 
--- a/replay/main_test.go
+++ b/replay/main_test.go
@@ -66,8 +66,6 @@
 	"oracle":         oracle{},
 	"reserve":        Gates{Label: "reserve", Keeper: keeper.ReserveThenPrefill{}},
 	"just-in-time":   Gates{Label: "just-in-time", Keeper: keeper.JustInTime{}},
-	"jit-1":   Gates{Label: "jit-1", Keeper: keeper.JustInTime{Safety: 1}},
-	"jit-05":   Gates{Label: "jit-05", Keeper: keeper.JustInTime{Safety: 0.5}},
 }
 
 // replayTrace runs one trace in a bubble of its own. Policies that only give a
--- a/routing/transfer.go
+++ b/routing/transfer.go
@@ -12,6 +12,10 @@
 	// importRetry is the pause before a transfer is tried again at a decode
 	// upstream whose place is not free yet.
 	importRetry = 10 * time.Millisecond
+	// leastTransferTime is the least time that a transfer is given. One that begins
+	// shortly before the result expires may end after it, as the engine keeps a
+	// result while it is transferred.
+	leastTransferTime = 250 * time.Millisecond
 	// maxTransferStalls is how often a transfer may stall before the prefill
 	// result is given up.
 	maxTransferStalls = 2
@@ -20,7 +24,7 @@
 // transfer moves a prefill result to the decode upstream within the result's
 // lifetime. A stalled transfer is tried once more.
 func (f *flight) transfer(ctx context.Context, p place, result ports.PrefillResult, expiry time.Time) error {
-	ctx, stop := context.WithDeadlineCause(ctx, expiry, errResultExpired)
+	ctx, stop := context.WithDeadlineCause(ctx, expiry.Add(leastTransferTime), errResultExpired)
 	defer stop()
 	stalls := 0
 	for {
@@ -28,6 +32,7 @@
 		if stalls+1 < maxTransferStalls {
 			limit /= 2
 		}
+		limit = max(limit, leastTransferTime)
 		err := f.importOnce(ctx, p, result, limit)
 		if err == nil {
 			return nil
