--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -90,7 +90,7 @@
 // freeing returns the releases of a full decode upstream that may be promised.
 func (g *group) freeing(d *decodeState, now time.Time) []placement.Freeing {
 	policy := g.keeper.cfg.Policy
-	if !policy.LooksAhead() || d.freeSlots() > 0 || len(d.promises) >= maxPromises {
+	if !policy.LooksAhead() || d.freeSlots() > 0 || g.promisesLeft(now) <= 0 {
 		return nil
 	}
 	g.ends = g.ends[:0]
@@ -126,7 +126,7 @@
 	if g.mustWait(w) {
 		return fairqueue.NotReady
 	}
-	pair, ok := g.decide(w)
+	pair, ok := g.decide(w, now)
 	if !ok {
 		g.reserve(w)
 		return noRoom(w)
@@ -150,7 +150,7 @@
 }
 
 // decide chooses the upstreams of a waiting request.
-func (g *group) decide(w *waiter) (placement.Pair, bool) {
+func (g *group) decide(w *waiter, now time.Time) (placement.Pair, bool) {
 	for i, d := range g.decode {
 		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
 	}
@@ -158,7 +158,7 @@
 	if w.req.Suspect {
 		req.Avoid = g.avoidCrashed(&w.req)
 	}
-	return g.scheduler.Decide(&g.snap, req, &g.decision)
+	return g.decideApart(req, now)
 }
 
 func (g *group) placementRequest(req *domain.PlaceRequest) *placement.Request {
@@ -228,8 +228,7 @@
 	g.countSuspect(gr, 1)
 	if pair.DecodeIn > 0 {
 		gr.due = now.Add(pair.DecodeIn)
-		d.promise(gr)
-		g.keeper.metrics.promises.Add(1)
+		g.promise(d, gr, now)
 	}
 	p.plan(now, pair, w.req.Suspect)
 	g.index.Expect(p.position, w.req.PieceKeys)
--- a/replay/main_test.go
+++ b/replay/main_test.go
@@ -103,5 +103,8 @@
 		for _, problem := range result.Problems {
 			t.Log(problem)
 		}
+		if *logs {
+			t.Log(result.Counters)
+		}
 	}
 }
