--- a/cmd/greengagespoke/script_test.go
+++ b/cmd/greengagespoke/script_test.go
@@ -21,6 +21,9 @@
 const (
 	// waitLimit bounds how long a script waits for a condition.
 	waitLimit = 20 * time.Second
+	// scriptLimit bounds all scripts together. Programs that still run then are
+	// stopped.
+	scriptLimit = time.Minute
 	// waitInterval is the time between two looks at a condition.
 	waitInterval = 10 * time.Millisecond
 	// scriptPorts is the number of free ports that a script gets as $ADDR1 and on.
@@ -42,8 +45,9 @@
 //	wait-body URL REGEXP      waits until a GET of the URL answers with a match
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir:   "testdata/script",
-		Setup: setup,
+		Dir:      "testdata/script",
+		Setup:    setup,
+		Deadline: time.Now().Add(scriptLimit),
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fails":     fails,
 			"expand":    expandFiles,
