--- a/replay/gates.go
+++ b/replay/gates.go
@@ -3,16 +3,26 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
+	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"greengagespoke/claims"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
 	"greengagespoke/internal/simnet"
 	"greengagespoke/keeper"
+	"greengagespoke/membership"
 	"greengagespoke/ports"
+	"greengagespoke/quarantine"
 	"greengagespoke/routing"
 )
 
+// loopOffset separates the beginnings of two loops.
+const loopOffset = 137 * time.Microsecond
+
 // Gates is the real policy: a gate and a keeper on each host.
 type Gates struct {
 	// Label names the variant; empty means "greengagespoke".
@@ -32,45 +42,72 @@
 // Start implements Policy.
 func (g Gates) Start(env *Env) Fleet {
 	f := &gateFleet{hosts: make(map[domain.HostID]*gateHost, len(env.Hosts))}
-	for _, h := range env.Hosts {
-		f.hosts[h.ID] = g.startHost(env, h)
+	for n, h := range env.Hosts {
+		f.hosts[h.ID] = g.startHost(env, h, n)
 	}
 	return f
 }
 
-func (g Gates) startHost(env *Env, h Host) *gateHost {
+func (g Gates) startHost(env *Env, h Host, n int) *gateHost {
 	set := counters.NewSet()
 	upstreams := env.Upstreams(h)
 	peers := env.Network.Peers(h.ID, h.Zone)
-	view := env.Members.View(h.ID)
+	strikes := quarantine.New(quarantine.Config{Counters: set})
 	host := &gateHost{counters: set}
+	host.members = membership.New(membership.Config{
+		Self:     domain.Member{ID: h.ID, Zone: h.Zone, PeerAddress: string(h.ID), CallerAddress: string(h.ID)},
+		HostList: env.HostList, Counters: set, Seed: env.Trace.Seed, Strikes: strikes,
+	})
+	host.members.Bind(peers)
 	host.keeper = keeper.New(keeper.Config{
-		Self: h.ID, Zone: h.Zone, Tables: env.Tables, Membership: view, Upstreams: upstreams,
-		Counters: set, Policy: g.Keeper, GatePeers: peers,
+		Self: h.ID, Zone: h.Zone, Tables: env.Tables, Membership: host.members, Upstreams: upstreams,
+		Counters: set, Policy: g.Keeper, GatePeers: peers, Quarantine: strikes,
 	})
 	host.gate = routing.New(routing.Config{
-		Tables: env.Tables, Membership: view, Peers: peers, Upstreams: upstreams,
-		Quarantine: noQuarantine{}, Claims: noClaims{}, Leaving: noLeaving{}, Counters: set,
+		Tables: env.Tables, Membership: host.members, Peers: peers, Upstreams: upstreams,
+		Quarantine: strikes, Claims: noClaims{}, Leaving: noLeaving{}, Counters: set,
+		Rand: seededRand(env.Trace.Seed, h),
 	})
-	env.Network.Attach(h.ID, h.Zone, simnet.Handlers{Keeper: host.keeper, Gate: host.gate})
-	host.start()
+	env.Network.Attach(h.ID, h.Zone, simnet.Handlers{Keeper: host.keeper, Gate: host.gate, Gossip: host.members})
+	host.start(n)
 	return host
 }
 
+// seededRand returns a random source of a host that repeats.
+func seededRand(seed uint64, h Host) func(n int64) int64 {
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(h.ID))))
+	return func(n int64) int64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return rng.Int64N(n)
+	}
+}
+
 // gateHost is the gate and the keeper of one host.
 type gateHost struct {
 	gate     *routing.Gate
 	keeper   *keeper.Keeper
+	members  *membership.Membership
 	counters *counters.Set
 	cancel   context.CancelFunc
 	loops    sync.WaitGroup
 }
 
-func (h *gateHost) start() {
+// start runs the loops of host number n. They begin at different times, so that
+// their timers never fire at one instant.
+func (h *gateHost) start(n int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	h.loops.Go(func() { _ = h.keeper.Run(ctx) })
-	h.loops.Go(func() { _ = h.gate.Run(ctx) })
+	loops := []func(context.Context) error{h.members.Run, h.keeper.Run, h.gate.Run}
+	for i, run := range loops {
+		offset := time.Duration(n*len(loops)+i) * loopOffset
+		h.loops.Go(func() {
+			if pause(ctx, offset) {
+				_ = run(ctx)
+			}
+		})
+	}
 }
 
 func (h *gateHost) stop() {
@@ -106,7 +143,7 @@
 var errNoClaims = errors.New("traces hold no service calls")
 
 // Execute implements routing.Claims.
-func (noClaims) Execute(context.Context, domain.CallerID, string, uint64, routing.SendFunc) (ports.ServiceResponse, error) {
+func (noClaims) Execute(context.Context, claims.Call, claims.Sender) (ports.ServiceResponse, error) {
 	return ports.ServiceResponse{}, errNoClaims
 }
 
@@ -115,18 +152,3 @@
 
 // Leaving implements routing.Leaving.
 func (noLeaving) Leaving(domain.UpstreamID) bool { return false }
-
-// noQuarantine lets every request run.
-type noQuarantine struct{}
-
-// Check implements routing.Quarantine.
-func (noQuarantine) Check(uint64) *domain.Refusal { return nil }
-
-// Suspect implements routing.Quarantine.
-func (noQuarantine) Suspect(uint64) bool { return false }
-
-// Crashed implements routing.Quarantine.
-func (noQuarantine) Crashed(domain.UpstreamID, []uint64) {}
-
-// Finished implements routing.Quarantine.
-func (noQuarantine) Finished(uint64) {}
