--- a/adapters/cli/call.go
+++ b/adapters/cli/call.go
@@ -127,6 +127,7 @@
 		Path:           f.path,
 		Body:           []byte(f.body),
 		IdempotencyKey: f.idempotencyKey,
+		Attempt:        f.attempt,
 	}
 	if f.body != "" {
 		call.ContentType = f.contentType
--- a/adapters/gateclient/client_test.go
+++ b/adapters/gateclient/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -106,8 +107,10 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			var sends atomic.Int32
-			c := fakeHost(t, func(http.ResponseWriter, *http.Request) {
-				sends.Add(1)
+			c := fakeHost(t, func(_ http.ResponseWriter, r *http.Request) {
+				if want := strconv.Itoa(int(sends.Add(1))); r.Header.Get(headerAttempt) != want {
+					t.Errorf("attempt is %q, want %s", r.Header.Get(headerAttempt), want)
+				}
 				panic(http.ErrAbortHandler)
 			})
 			_, err := c.CallService(context.Background(), tc.call)
--- a/adapters/gateclient/service.go
+++ b/adapters/gateclient/service.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 
 	"greengagespoke/domain"
 )
@@ -19,6 +20,9 @@
 	ContentType string
 	// IdempotencyKey names a non-idempotent call; a resend carries the same key.
 	IdempotencyKey string
+	// Attempt is the number of the first send; 0 means 1. A caller that has sent
+	// the call before states a larger one.
+	Attempt int
 }
 
 // Answer is the whole answer of a plain service.
@@ -38,6 +42,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	call.Attempt = max(1, call.Attempt)
 	var answer Answer
 	for _, address := range addresses {
 		answer, err = c.callAt(ctx, address, call)
@@ -45,9 +50,13 @@
 			return answer, err
 		}
 		var unreachable *UnreachableError
-		if errors.As(err, &unreachable) && unreachable.Sent && !call.repeatable() {
+		if !errors.As(err, &unreachable) || !unreachable.Sent {
+			continue
+		}
+		if !call.repeatable() {
 			return answer, err
 		}
+		call.Attempt++
 	}
 	return answer, err
 }
@@ -65,6 +74,7 @@
 	if call.ContentType != "" {
 		req.Header.Set("Content-Type", call.ContentType)
 	}
+	req.Header.Set(headerAttempt, strconv.Itoa(call.Attempt))
 	if call.IdempotencyKey != "" {
 		req.Header.Set(headerIdempotencyKey, call.IdempotencyKey)
 	}
--- a/internal/docstest/api_test.go
+++ b/internal/docstest/api_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"greengagespoke/adapters/gatehttp"
 	"greengagespoke/domain"
 )
 
@@ -17,7 +18,7 @@
 var documentedKind = regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\| (\\d{3}) \\| ([a-z ]+) \\| ([^|]+) \\| ([^|]+) \\|$")
 
 // TestRefusalsAreDocumented checks that docs/API.md has every kind of refusal
-// exactly once, and no other.
+// exactly once with the status that hosts answer with, and no other.
 func TestRefusalsAreDocumented(t *testing.T) {
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "API.md"))
 	if err != nil {
@@ -25,7 +26,11 @@
 	}
 	documented := make(map[domain.RefusalKind]int)
 	for _, m := range documentedKind.FindAllStringSubmatch(string(page), -1) {
-		documented[domain.RefusalKind(m[1])]++
+		kind := domain.RefusalKind(m[1])
+		documented[kind]++
+		if status := strconv.Itoa(gatehttp.StatusCode(kind)); status != m[2] {
+			t.Errorf("kind %s is documented with status %s, but hosts answer with %s", kind, m[2], status)
+		}
 		for _, ran := range strings.Split(m[3], " or ") {
 			if ran != string(domain.RanNo) && ran != string(domain.RanYes) && ran != string(domain.RanUnknown) {
 				t.Errorf("kind %s is documented with ran %q", m[1], ran)
--- a/internal/docstest/counters_test.go
+++ b/internal/docstest/counters_test.go
@@ -13,14 +13,9 @@
 	"strings"
 	"testing"
 
-	_ "greengagespoke/adapters/peerrpc"
 	"greengagespoke/counters"
-	_ "greengagespoke/hostwatch"
-	_ "greengagespoke/keeper"
-	_ "greengagespoke/membership"
-	_ "greengagespoke/placement"
-	_ "greengagespoke/routing"
-	_ "greengagespoke/tables"
+	// The daemon imports every package that counts.
+	_ "greengagespoke/entry"
 )
 
 // TestCountersPage checks that the counters page lists the whole catalogue, and
@@ -38,7 +33,7 @@
 		for _, name := range names {
 			found++
 			if !catalogue[name] {
-				t.Errorf("counter %s of %s is not in the catalogue; import its package in this test", name, path)
+				t.Errorf("counter %s of %s is not in the catalogue; import its package in the daemon or in this test", name, path)
 			}
 		}
 	}
