End a host at once where a listener fails; act on every setting

Cause: with its address taken, the daemon logged nothing and ran on without a listener until it was told to stop. The platform's read limit in the settings had no effect.

--- a/adapters/cli/store_flags.go
+++ b/adapters/cli/store_flags.go
@@ -9,6 +9,7 @@
 	"greengagespoke/adapters/settings"
 	"greengagespoke/adapters/strictyaml"
 	"greengagespoke/domain"
+	"greengagespoke/entry"
 	"greengagespoke/tables"
 )
 
@@ -36,7 +37,7 @@
 		if err != nil {
 			return cfg, false, err
 		}
-		cfg = PlatformConfig(s)
+		cfg = entry.PlatformConfig(s)
 		hasHosts = true
 	}
 	if f.platform != "" {
@@ -67,18 +68,6 @@
 	return cfg, hasHosts, nil
 }
 
-// PlatformConfig returns the platform's services as a settings file names them.
-func PlatformConfig(s *settings.Settings) platformhttp.Config {
-	return platformhttp.Config{
-		TablesURL:  s.Platform.Tables,
-		ObjectsURL: s.Platform.Objects,
-		Bucket:     s.Platform.Bucket,
-		HostsURL:   s.Platform.HostList,
-		Token:      string(s.Platform.Token),
-		Timeout:    s.Platform.Timeout.D(),
-	}
-}
-
 // client returns a client of the platform.
 func (f *storeFlags) client() (client *platformhttp.Client, hasHosts bool, err error) {
 	cfg, hasHosts, err := f.config()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -50,14 +50,7 @@
 // New returns a daemon for checked settings. Nothing listens before Run.
 func New(s *settings.Settings) (*Daemon, error) {
 	logging.UseKlog()
-	platform, err := platformhttp.New(platformhttp.Config{
-		TablesURL:  s.Platform.Tables,
-		ObjectsURL: s.Platform.Objects,
-		Bucket:     s.Platform.Bucket,
-		HostsURL:   s.Platform.HostList,
-		Token:      string(s.Platform.Token),
-		Timeout:    s.Platform.Timeout.D(),
-	})
+	platform, err := platformhttp.New(PlatformConfig(s))
 	if err != nil {
 		return nil, err
 	}
@@ -81,6 +74,7 @@
 		HostListPoll:      s.Timings.HostListPoll.D(),
 
 		StoreWritesPerSecond: s.Limits.StoreWritesPerSecond,
+		StoreReadsPerSecond:  s.Limits.StoreReadsPerSecond,
 	})
 	d := &Daemon{settings: s, host: h}
 	callers, err := callerServer(s, h, set)
@@ -101,6 +95,18 @@
 	return d, nil
 }
 
+// PlatformConfig returns where the platform's services are.
+func PlatformConfig(s *settings.Settings) platformhttp.Config {
+	return platformhttp.Config{
+		TablesURL:  s.Platform.Tables,
+		ObjectsURL: s.Platform.Objects,
+		Bucket:     s.Platform.Bucket,
+		HostsURL:   s.Platform.HostList,
+		Token:      string(s.Platform.Token),
+		Timeout:    s.Platform.Timeout.D(),
+	}
+}
+
 func self(s *settings.Settings) domain.Member {
 	return domain.Member{
 		ID:            s.Host.ID,
@@ -112,15 +118,23 @@
 }
 
 // Run serves until ctx is done, then makes a planned stop: it returns after
-// every request in flight has ended.
+// every request in flight has ended. Where a listener fails, it returns the
+// error at once.
 func (d *Daemon) Run(ctx context.Context) error {
 	loopCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	var all errgroup.Group
-	all.Go(d.app.Run)
+	all.Go(func() error {
+		defer stopLoops()
+		return eris.Wrap(d.app.Run(), "a listener failed; check the addresses under listen")
+	})
 	all.Go(func() error { return d.host.Run(loopCtx) })
 	all.Go(func() error {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-loopCtx.Done():
+			return nil
+		}
 		klog.Infof("host %s is leaving", d.settings.Host.ID)
 		err := d.host.Leave(context.WithoutCancel(ctx))
 		klog.Infof("host %s has drained", d.settings.Host.ID)
--- a/host/host.go
+++ b/host/host.go
@@ -61,6 +61,8 @@
 	// StoreWritesPerSecond is the table service's limit for all hosts together;
 	// zero means the default.
 	StoreWritesPerSecond int
+	// StoreReadsPerSecond is the same for reads.
+	StoreReadsPerSecond int
 	// HostListPoll is the mean time between polls of the host list.
 	HostListPoll time.Duration
 }
@@ -103,6 +105,7 @@
 		Tables:          cfg.Store,
 		Objects:         cfg.Objects,
 		WritesPerSecond: cfg.StoreWritesPerSecond,
+		ReadsPerSecond:  cfg.StoreReadsPerSecond,
 		Hosts:           h.knownHosts,
 		Counters:        cfg.Counters,
 	})
