--- a/adapters/cli/caller_flags.go
+++ b/adapters/cli/caller_flags.go
@@ -109,9 +109,10 @@
 	}
 }
 
-// beside returns a host's address with the scheme of the first named host.
-func (f *hostFlags) beside(address string) string {
-	if len(f.hosts) > 0 && strings.HasPrefix(f.hosts[0], "https://") {
+// beside returns a host's address with the scheme that hosts are known to speak.
+func (f *hostFlags) beside(access storeAccess, address string) string {
+	named := len(f.hosts) > 0 && strings.HasPrefix(f.hosts[0], "https://")
+	if named || access.callersTLS {
 		return "https://" + address
 	}
 	return address
--- a/adapters/cli/fleet.go
+++ b/adapters/cli/fleet.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sort"
@@ -42,12 +43,20 @@
 	hosts hostFlags
 }
 
-// errNoFleet means that no way to find the hosts was given.
-var errNoFleet = usage("name the hosts with --host, --host-list or --settings")
+var (
+	// errNoFleet means that no way to find the hosts was given.
+	errNoFleet = usage("name the hosts with --host, --host-list or --settings")
+	// errNoHosts means that the host list has no entry host.
+	errNoHosts = errors.New("the host list names no entry host; name one with --host")
+)
 
 // states returns the state of all hosts, sorted by zone and name.
 func (f *fleet) states(ctx context.Context) ([]hostState, error) {
-	states, err := f.known(ctx)
+	access, err := f.store.access()
+	if err != nil {
+		return nil, err
+	}
+	states, err := f.known(ctx, access)
 	if err != nil {
 		return nil, err
 	}
@@ -55,7 +64,7 @@
 	group.SetLimit(statusParallel)
 	for i := range states {
 		group.Go(func() error {
-			f.ask(ctx, &states[i])
+			f.ask(ctx, access, &states[i])
 			return nil
 		})
 	}
@@ -70,12 +79,15 @@
 }
 
 // known returns the hosts that a named host sees and those of the host list.
-func (f *fleet) known(ctx context.Context) ([]hostState, error) {
+func (f *fleet) known(ctx context.Context, access storeAccess) ([]hostState, error) {
+	if len(f.hosts.hosts) == 0 && access.config.HostsURL == "" {
+		return nil, errNoFleet
+	}
 	found := make(map[domain.HostID]hostState)
 	seenErr := f.seenByHosts(ctx, found)
-	listErr := f.listed(ctx, found)
+	listErr := listed(ctx, access, found)
 	if len(found) == 0 {
-		return nil, callerFault(errors.Join(seenErr, listErr))
+		return nil, callerFault(cmp.Or(errors.Join(seenErr, listErr), errNoHosts))
 	}
 	states := make([]hostState, 0, len(found))
 	for _, s := range found {
@@ -103,20 +115,20 @@
 	return nil
 }
 
-// listed adds the entry hosts of the platform's host list.
-func (f *fleet) listed(ctx context.Context, found map[domain.HostID]hostState) error {
-	client, hasHosts, err := f.store.client()
-	if err != nil || !hasHosts {
-		if len(f.hosts.hosts) > 0 {
-			return nil
-		}
-		return errNoFleet
+// listed adds the entry hosts of the platform's host list, where it is known.
+func listed(ctx context.Context, access storeAccess, found map[domain.HostID]hostState) error {
+	if access.config.HostsURL == "" {
+		return nil
+	}
+	client, err := access.client()
+	if err != nil {
+		return err
 	}
-	listed, err := client.Hosts().Hosts(ctx)
+	hosts, err := client.Hosts().Hosts(ctx)
 	if err != nil {
 		return err
 	}
-	for _, h := range listed {
+	for _, h := range hosts {
 		id := domain.HostID(h.Name)
 		if _, there := found[id]; there || h.CallerAddress == "" {
 			continue
@@ -131,11 +143,11 @@
 }
 
 // ask fills in what a host says about itself.
-func (f *fleet) ask(ctx context.Context, s *hostState) {
+func (f *fleet) ask(ctx context.Context, access storeAccess, s *hostState) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
 	hosts := f.hosts
-	hosts.hosts = []string{f.hosts.beside(s.address)}
+	hosts.hosts = []string{f.hosts.beside(access, s.address)}
 	client, err := hosts.client()
 	if err != nil {
 		return
--- a/adapters/cli/store_flags.go
+++ b/adapters/cli/store_flags.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"os"
 
 	"github.com/integrii/flaggy"
@@ -30,57 +31,66 @@
 	sc.String(&f.tokenFile, "", "platform-token-file", "file with the token for the platform")
 }
 
-// config returns the platform's services and whether the host list is known.
-func (f *storeFlags) config() (cfg platformhttp.Config, hasHosts bool, err error) {
+// storeAccess is what the flags say about the platform.
+type storeAccess struct {
+	config platformhttp.Config
+	// callersTLS says that hosts speak TLS to callers, as far as is known.
+	callersTLS bool
+}
+
+// access returns what the flags say. URLs that they do not name stay empty.
+func (f *storeFlags) access() (storeAccess, error) {
+	var a storeAccess
+	for flag, value := range map[string]string{"--platform": f.platform, "--host-list": f.hostList} {
+		if value != "" && !settings.IsServiceURL(value) {
+			return a, usage("%s: %q is not a URL with an IP number and a port, such as http://10.0.0.9:7300", flag, value)
+		}
+	}
 	if f.settingsFile != "" {
 		s, err := settings.Load(f.settingsFile)
 		if err != nil {
-			return cfg, false, err
+			return a, err
 		}
-		cfg = entry.PlatformConfig(s)
-		hasHosts = true
+		a.config = entry.PlatformConfig(s)
+		a.callersTLS = s.Listen.Callers.TLS != nil
 	}
 	if f.platform != "" {
-		cfg.TablesURL, cfg.ObjectsURL, cfg.Bucket = f.platform, f.platform, settings.Default().Platform.Bucket
+		a.config.TablesURL = f.platform
 	}
 	if f.hostList != "" {
-		cfg.HostsURL = f.hostList
-		hasHosts = true
+		a.config.HostsURL = f.hostList
 	}
 	if f.tokenFile != "" {
 		token, err := strictyaml.ReadFile(f.tokenFile)
 		if err != nil {
-			return cfg, false, err
-		}
-		cfg.Token = oneLine(string(token))
-	}
-	for flag, value := range map[string]string{"--platform": f.platform, "--host-list": f.hostList} {
-		if value != "" && !settings.IsServiceURL(value) {
-			return cfg, false, usage("%s: %q is not a URL with an IP number and a port, such as http://10.0.0.9:7300", flag, value)
+			return a, err
 		}
+		a.config.Token = oneLine(string(token))
 	}
-	if cfg.TablesURL == "" {
-		return cfg, false, usage("--settings or --platform is missing; say where the table service is")
-	}
-	if cfg.HostsURL == "" {
-		cfg.HostsURL = cfg.TablesURL
-	}
-	return cfg, hasHosts, nil
+	return a, nil
 }
 
-// client returns a client of the platform.
-func (f *storeFlags) client() (client *platformhttp.Client, hasHosts bool, err error) {
-	cfg, hasHosts, err := f.config()
-	if err != nil {
-		return nil, false, err
-	}
-	client, err = platformhttp.New(cfg)
-	return client, hasHosts, err
+// client returns a client of the services that are named. The client wants a
+// value for each, so that the others get that of a named one.
+func (a storeAccess) client() (*platformhttp.Client, error) {
+	config := a.config
+	config.TablesURL = cmp.Or(config.TablesURL, config.HostsURL)
+	config.HostsURL = cmp.Or(config.HostsURL, config.TablesURL)
+	config.ObjectsURL = cmp.Or(config.ObjectsURL, config.TablesURL)
+	config.Bucket = cmp.Or(config.Bucket, settings.Default().Platform.Bucket)
+	return platformhttp.New(config)
 }
 
 // editor returns an editor of the two tables.
 func (f *storeFlags) editor() (*tables.Editor, error) {
-	client, _, err := f.client()
+	access, err := f.access()
+	if err != nil {
+		return nil, err
+	}
+	if access.config.TablesURL == "" {
+		return nil, usage("--settings or --platform is missing; say where the table service is")
+	}
+	client, err := access.client()
 	if err != nil {
 		return nil, err
 	}
--- a/adapters/logging/klog.go
+++ b/adapters/logging/klog.go
@@ -1,8 +1,9 @@
-// Package logging connects the log of kratos to klog.
+// Package logging connects the logs of kratos and of package log to klog.
 package logging
 
 import (
 	"fmt"
+	stdlog "log"
 	"strings"
 
 	"github.com/go-kratos/kratos/v2/log"
@@ -30,7 +31,24 @@
 	return nil
 }
 
-// UseKlog sends the log lines of kratos to klog.
+// standardWriter writes lines of package log to klog. HTTP servers use it for
+// connections that fail, which is no change of state, and for panics.
+type standardWriter struct{}
+
+// Write implements io.Writer.
+func (standardWriter) Write(line []byte) (int, error) {
+	text := strings.TrimSpace(string(line))
+	if strings.Contains(text, "panic") {
+		klog.Error(text)
+	} else {
+		klog.V(frameworkVerbosity).Info(text)
+	}
+	return len(line), nil
+}
+
+// UseKlog sends the log lines of kratos and of package log to klog.
 func UseKlog() {
 	log.SetLogger(frameworkLogger{})
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(standardWriter{})
 }
--- a/cmd/greengagespoke/script_test.go
+++ b/cmd/greengagespoke/script_test.go
@@ -39,6 +39,7 @@
 //
 //	fails CODE PROGRAM ARG... runs a program that must end with the exit code
 //	expand FILE...            replaces $NAME by environment variables in files
+//	make-cert CERT KEY        writes a self-signed certificate for 127.0.0.1
 //	replace FROM TO OLD NEW   copies a file with the first OLD replaced by NEW
 //	terminate TEXT            sends SIGTERM to the background program with TEXT
 //	                          in its arguments
@@ -50,6 +51,7 @@
 		Deadline: time.Now().Add(scriptLimit),
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fails":     fails,
+			"make-cert": makeCert,
 			"expand":    expandFiles,
 			"replace":   replaceText,
 			"terminate": terminate,
