--- a/internal/docstest/counters_test.go
+++ b/internal/docstest/counters_test.go
@@ -19,6 +19,7 @@
 	_ "greengagespoke/hostwatch"
 	_ "greengagespoke/keeper"
 	_ "greengagespoke/membership"
+	_ "greengagespoke/orders"
 	_ "greengagespoke/placement"
 	_ "greengagespoke/quarantine"
 	_ "greengagespoke/routing"
