--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -10,6 +10,10 @@
 	"greengagespoke/placement"
 )
 
+// lookAheadInterval is the time between dispatches while requests wait and the
+// policy promises predicted releases.
+const lookAheadInterval = 20 * time.Millisecond
+
 // dispatch confirms promised places and grants the others to waiting requests in
 // fair order until none fits.
 func (g *group) dispatch(now time.Time) {
@@ -30,6 +34,25 @@
 	g.scheduleLookAhead()
 }
 
+// scheduleLookAhead dispatches again in a moment where time alone may make a
+// promise possible.
+func (g *group) scheduleLookAhead() {
+	if g.queue.Len() == 0 || !g.keeper.cfg.Policy.LooksAhead() {
+		return
+	}
+	if g.lookAhead == nil {
+		g.lookAhead = time.AfterFunc(lookAheadInterval, g.lookAgain)
+		return
+	}
+	g.lookAhead.Reset(lookAheadInterval)
+}
+
+func (g *group) lookAgain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatch(time.Now())
+}
+
 // refused is a waiting request with the refusal that it is to receive.
 type refused struct {
 	waiter  *waiter
@@ -59,9 +82,25 @@
 	}
 	g.snap.Decode = g.snap.Decode[:0]
 	for _, d := range g.decode {
-		g.snap.Decode = append(g.snap.Decode, d.snapshot(now))
+		state := d.snapshot(now)
+		state.Freeing = g.freeing(d, now)
+		g.snap.Decode = append(g.snap.Decode, state)
+	}
+}
+
+// freeing returns the releases of a full decode upstream that may be promised.
+func (g *group) freeing(d *decodeState, now time.Time) []placement.Freeing {
+	policy := g.keeper.cfg.Policy
+	if !policy.LooksAhead() || d.freeSlots() > 0 || g.promisesLeft(now) <= 0 {
+		return nil
+	}
+	g.ends = g.ends[:0]
+	for _, gr := range d.grants {
+		if !gr.promised {
+			g.ends = append(g.ends, PredictedEnd{In: g.remaining(gr, now), Pieces: gr.Pieces})
+		}
 	}
-	g.lookAheadAll(now)
+	return policy.Freeing(g.ends, nil)
 }
 
 // hasRoom returns whether any decode upstream could take a request.
@@ -88,7 +127,7 @@
 	if g.mustWait(w) {
 		return fairqueue.NotReady
 	}
-	pair, ok := g.decide(w)
+	pair, ok := g.decide(w, now)
 	if !ok {
 		g.reserve(w)
 		return noRoom(w)
@@ -112,7 +151,7 @@
 }
 
 // decide chooses the upstreams of a waiting request.
-func (g *group) decide(w *waiter) (placement.Pair, bool) {
+func (g *group) decide(w *waiter, now time.Time) (placement.Pair, bool) {
 	for i, d := range g.decode {
 		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
 	}
@@ -120,7 +159,7 @@
 	if w.req.Suspect {
 		req.Avoid = g.avoidCrashed(&w.req)
 	}
-	return g.scheduler.Decide(&g.snap, req, &g.decision)
+	return g.decideApart(req, now)
 }
 
 func (g *group) placementRequest(req *domain.PlaceRequest) *placement.Request {
@@ -186,21 +225,21 @@
 		cost:     w.entry.Cost,
 		limit:    w.req.OutputTokens,
 		granted:  now,
+		placed:   now,
 		expires:  now.Add(grantTerm),
 		decoding: now.Add(pair.FirstToken),
-		avoid:    w.req.Avoid,
+		avoid:    g.avoidCrashed(&w.req),
 	}
 	d.take(gr)
 	g.countSuspect(gr, 1)
 	if pair.DecodeIn > 0 {
 		gr.due = now.Add(pair.DecodeIn)
-		d.promise(gr)
-		g.keeper.metrics.promises.Add(1)
+		g.promise(d, gr, now)
 	}
 	p.plan(now, pair, w.req.Suspect)
 	g.index.Expect(p.position, w.req.PieceKeys)
 	g.snap.Decode[pair.Decode] = d.snapshot(now)
-	g.lookAheadAll(now)
+	g.snap.Decode[pair.Decode].Freeing = g.freeing(d, now)
 	g.snap.Prefill[pair.Prefill] = p.snapshot(now)
 	g.grants[gr.ID] = gr
 	g.requests[w.req.ID.Key()] = &request{grant: gr}
--- a/keeper/group.go
+++ b/keeper/group.go
@@ -39,6 +39,10 @@
 	ended map[domain.AttemptID]time.Time
 	lost  map[domain.GrantID]time.Time
 	queue *fairqueue.Queue[*waiter]
+	// releases measures how often places become free.
+	releases releaseRate
+	// pairRests holds the pairs whose last grant failed, and until when they rest.
+	pairRests map[pairKey]time.Time
 	// suspects counts the grants of suspect requests by fingerprint.
 	suspects map[uint64]int
 	// refused are waiting requests that were found not to run while they were
@@ -51,7 +55,7 @@
 	scheduler *placement.Scheduler
 	snap      placement.Snapshot
 	decision  placement.Decision
-	rates     []float64
+	ends      []PredictedEnd
 	// lookAhead dispatches again as predicted releases come closer.
 	lookAhead *time.Timer
 }
@@ -72,19 +76,18 @@
 	// limit is the largest output in tokens.
 	limit   int
 	granted time.Time
+	// placed is when the grant received its place; later than granted where the
+	// place was promised first.
+	placed  time.Time
 	expires time.Time
 	// decoding is when decoding started, as predicted or observed.
 	decoding time.Time
 	avoid    []domain.UpstreamID
-	// early says that the place was granted before it was free.
-	early bool
 	// promised says that the place is not free yet, due when it is predicted to
-	// be, asking how many calls wait for it since asked; confirmed is closed when
-	// it is free.
+	// be, asking how many calls wait for it; confirmed is closed when it is free.
 	promised  bool
 	due       time.Time
 	asking    int
-	asked     time.Time
 	confirmed chan struct{}
 	// revoking says that the attempt is being canceled on its engines, and
 	// replacement is the newer attempt that waits for that.
@@ -108,6 +111,7 @@
 		lengths:   make(map[domain.RouteName]*lengths),
 		index:     index,
 		scheduler: placement.NewScheduler(index),
+		pairRests: make(map[pairKey]time.Time),
 	}
 	g.update(def)
 	return g
--- a/keeper/promise.go
+++ b/keeper/promise.go
@@ -13,7 +13,7 @@
 
 // promise marks a grant whose place is predicted to become free.
 func (d *decodeState) promise(g *grant) {
-	g.promised, g.early = true, true
+	g.promised = true
 	g.confirmed = make(chan struct{})
 	d.promises = append(d.promises, g)
 	d.promisedPieces += g.Pieces
@@ -30,82 +30,87 @@
 	d.promisedPieces -= g.Pieces
 }
 
-// unused returns the slots that are free now, with those that are promised.
-func (d *decodeState) unused() int { return d.freeSlots() + len(d.promises) }
-
-// hasPlace returns whether a promised grant could have a place now.
+// hasPlace returns whether a promised grant's place is free by now.
 func (d *decodeState) hasPlace(g *grant) bool {
-	return d.unused() > 0 && d.freePieces()+d.promisedPieces >= g.Pieces
+	return d.freeSlots()+len(d.promises) > 0 && d.freePieces()+d.promisedPieces >= g.Pieces
 }
 
 // confirmPromises gives free places to promised grants before any new request
-// receives one. Those whose gate asks go first, the longest asking first, as
-// their prefill result expires; they may be moved to another upstream, as the
-// gate learns of it before it starts the transfer. The others need no place yet.
+// receives one. Grants whose prefill has ended, so that their gates ask for the
+// place, take the first free place of the group; the others wait for their own
+// upstream, the oldest first.
 func (g *group) confirmPromises(now time.Time) {
-	for _, gr := range g.asking() {
-		if to := g.placeFor(gr, now); to != nil {
-			g.keep(gr, to, now)
+	for _, gr := range g.askedPromises() {
+		if to := g.freePlace(gr, now); to != nil {
+			g.keepPromise(gr, now)
+			g.move(gr, to)
 		}
 	}
 	for _, d := range g.decode {
-		for len(d.promises) > 0 && now.Sub(d.promises[0].due) > promisePoll && d.hasPlace(d.promises[0]) {
-			g.keep(d.promises[0], d, now)
+		for len(d.promises) > 0 && d.hasPlace(d.promises[0]) {
+			g.keepPromise(d.promises[0], now)
 		}
 	}
 }
 
-// asking returns the promised grants whose gates wait for the place, the longest
-// waiting first.
-func (g *group) asking() []*grant {
-	var asking []*grant
+// askedPromises returns the promised grants that gates wait for, in order of
+// their predicted times.
+func (g *group) askedPromises() []*grant {
+	var asked []*grant
 	for _, d := range g.decode {
 		for _, gr := range d.promises {
 			if gr.asking > 0 {
-				asking = append(asking, gr)
+				asked = append(asked, gr)
 			}
 		}
 	}
-	slices.SortStableFunc(asking, func(a, b *grant) int { return a.asked.Compare(b.asked) })
-	return asking
+	slices.SortStableFunc(asked, func(a, b *grant) int { return a.due.Compare(b.due) })
+	return asked
 }
 
-// placeFor returns the upstream on which a promised grant can have a place now:
-// its own, or the one with the most free places.
-func (g *group) placeFor(gr *grant, now time.Time) *decodeState {
-	own := g.byDecode[gr.Decode]
-	if own.hasPlace(gr) {
-		return own
+// keepPromise gives a promised grant its place.
+func (g *group) keepPromise(gr *grant, now time.Time) {
+	if d, ok := g.byDecode[gr.Decode]; ok {
+		d.unpromise(gr)
+	}
+	gr.DecodeIn = 0
+	// A crash before this time did not hit the grant.
+	gr.placed = now
+	if now.After(gr.due) {
+		g.keeper.metrics.promisesLate.Add(1)
 	}
+}
+
+// freePlace returns the decode upstream that can take a promised grant at once:
+// its own, or else the one with the most free slots. Places that are promised to
+// grants whose gates do not ask yet count as free.
+func (g *group) freePlace(gr *grant, now time.Time) *decodeState {
 	var best *decodeState
 	for _, d := range g.decode {
-		if !d.hasPlace(gr) || !d.usable(now) || d.reservedFor != nil {
+		if !d.hasPlace(gr) || !d.usable(now) {
 			continue
 		}
-		if slices.Contains(gr.avoid, d.up.ID) || (gr.Suspect && d.suspects > 0) {
+		if d.up.ID == gr.Decode {
+			return d
+		}
+		if d.reservedFor != nil || slices.Contains(gr.avoid, d.up.ID) || (gr.Suspect && d.suspects > 0) {
 			continue
 		}
-		if best == nil || d.unused() > best.unused() {
+		if best == nil || d.freeSlots() > best.freeSlots() {
 			best = d
 		}
 	}
 	return best
 }
 
-// keep gives a promised grant its place.
-func (g *group) keep(gr *grant, on *decodeState, now time.Time) {
-	if now.After(gr.due) {
-		g.keeper.metrics.promisesLate.Add(1)
-	}
-	gr.DecodeIn = 0
-	own := g.byDecode[gr.Decode]
-	if own == on {
-		own.unpromise(gr)
+// move takes a confirmed grant to another decode upstream.
+func (g *group) move(gr *grant, to *decodeState) {
+	if gr.Decode == to.up.ID {
 		return
 	}
-	own.give(gr)
-	gr.Decode = on.up.ID
-	on.take(gr)
+	g.byDecode[gr.Decode].give(gr)
+	gr.Decode = to.up.ID
+	to.take(gr)
 	g.keeper.metrics.promisesMoved.Add(1)
 }
 
--- a/keeper/promise_test.go
+++ b/keeper/promise_test.go
@@ -155,6 +155,10 @@
 		b := newBench(size{1, 2, 20, 200}, JustInTime{})
 		defer b.start(t, b.keeper)()
 		grants := fill(t, b, 40)
+		for range releasesKept {
+			b.keeper.held()[0].releases.add(time.Now())
+			time.Sleep(10 * time.Millisecond)
+		}
 		first, second := place("a", "1", 1), place("b", "1", 1)
 		first.PromptTokens, second.PromptTokens = 10_000, 10_000
 		running := mustAcquire(t, b.keeper, first)
--- a/routing/flight.go
+++ b/routing/flight.go
@@ -164,18 +164,17 @@
 	decode  domain.Upstream
 }
 
-// serve runs prefill, transfer and decode on a granted place. A place that was
-// granted before it is free is confirmed after the prefill, and may then be on
-// another decode upstream.
+// serve runs prefill, transfer and decode on a granted place.
 func (f *flight) serve(ctx context.Context, p *place) error {
 	result, err := f.prefill(ctx, *p)
 	if err != nil {
 		return err
 	}
-	if p.grant.DecodeIn > 0 {
-		f.confirm(ctx, p, result.ExpiresIn)
+	expiry := time.Now().Add(result.ExpiresIn)
+	if err := f.confirm(ctx, p, expiry); err != nil {
+		return err
 	}
-	if err := f.transfer(ctx, *p, result); err != nil {
+	if err := f.transfer(ctx, *p, result, expiry); err != nil {
 		return err
 	}
 	return f.decode(ctx, *p)
