Run the orders controller on each host

Cause: engine orders were built but nothing ran them. Change: host composes the controller, with an editor whose accepted role changes are in force at once.

--- a/host/host.go
+++ b/host/host.go
@@ -18,6 +18,7 @@
 	"greengagespoke/hostwatch"
 	"greengagespoke/keeper"
 	"greengagespoke/membership"
+	"greengagespoke/orders"
 	"greengagespoke/ports"
 	"greengagespoke/quarantine"
 	"greengagespoke/routing"
@@ -80,6 +81,7 @@
 	Quarantine *quarantine.List
 	watch      *hostwatch.Watch
 	claims     *claims.Claimer
+	orders     *orders.Controller
 	refusing   atomic.Bool
 }
 
@@ -139,6 +141,16 @@
 		Counters: cfg.Counters,
 	})
 	h.Gate = h.newGate(peers)
+	h.orders = orders.New(orders.Config{
+		Self:       cfg.Self.ID,
+		Store:      store,
+		Tables:     h.Tables,
+		Membership: h.Membership,
+		Upstreams:  cfg.Upstreams,
+		HostList:   h.watch,
+		Editor:     tables.NewEditor(tables.EditorConfig{Store: store, Clock: cfg.Clock, Follower: h.Tables}),
+		Counters:   cfg.Counters,
+	})
 	peers.Peers = cfg.MakePeers(Local{
 		Keeper:     h.Keeper,
 		Gossip:     h.Membership,
@@ -169,7 +181,7 @@
 	defer h.Gate.Close()
 	loops, ctx := errgroup.WithContext(ctx)
 	for _, run := range []func(context.Context) error{
-		h.watch.Run, h.Membership.Run, h.Tables.Run, h.Keeper.Run, h.Gate.Run, h.claims.Run, h.announceRevision,
+		h.watch.Run, h.Membership.Run, h.Tables.Run, h.Keeper.Run, h.Gate.Run, h.claims.Run, h.orders.Run, h.announceRevision,
 	} {
 		loops.Go(func() error { return run(ctx) })
 	}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -183,10 +183,3 @@
 
 // CutStore cuts a host off from the table service or mends it.
 func (f *Fleet) CutStore(m *Member, cut bool) { m.store.cut.Store(cut) }
-
-// running returns whether a host is running, with its connections' context.
-func (f *Fleet) running(m *Member) (context.Context, *host.Host, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return m.connections, m.Host, !m.stopped
-}
