--- a/placement/score_occupancy.go
+++ b/placement/score_occupancy.go
@@ -13,12 +13,22 @@
 
 func (occupancyScore) Run(s *Snapshot, _ *Request, d *Decision) {
 	for i := range s.Decode {
-		up := &s.Decode[i]
-		used := max(share(up.Slots-up.FreeSlots, up.Slots), share(up.Pieces-up.FreePieces, up.Pieces))
-		d.Decode[i].Penalty += time.Duration(used * float64(occupancyPenalty))
+		if !d.Decode[i].Rejected {
+			d.Decode[i].Penalty += time.Duration(s.Decode[i].occupancy() * float64(occupancyPenalty))
+		}
 	}
 }
 
+// occupancy returns the part of the slots or of the memory that is in use,
+// whichever is larger. Only the larger one is divided.
+func (d *Decode) occupancy() float64 {
+	slots, pieces := d.Slots-d.FreeSlots, d.Pieces-d.FreePieces
+	if slots*d.Pieces >= pieces*d.Slots {
+		return share(slots, d.Slots)
+	}
+	return share(pieces, d.Pieces)
+}
+
 func share(part, whole int) float64 {
 	if whole <= 0 {
 		return 0
--- a/placement/score_prefill.go
+++ b/placement/score_prefill.go
@@ -10,6 +10,9 @@
 
 func (prefillScore) Run(s *Snapshot, r *Request, d *Decision) {
 	for i := range s.Prefill {
+		if d.Prefill[i].Rejected {
+			continue
+		}
 		p := &s.Prefill[i]
 		d.Prefill[i].Delay += p.Queue + p.work(r.PromptTokens-d.Prefill[i].CachedTokens)
 	}
