--- a/demo/demo.go
+++ b/demo/demo.go
@@ -65,7 +65,7 @@
 		return nil, eris.Errorf("the demo needs at least %d hosts and 1 second", MinHosts)
 	}
 	progress("starting stand-ins and entry hosts on loopback")
-	d, err := newDeployment(ctx, opts.Hosts)
+	d, err := newDeployment(ctx, opts.Hosts, decodeSlots)
 	if err != nil {
 		return nil, firstOf(err, d.close())
 	}
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -73,8 +73,8 @@
 }
 
 // newDeployment starts stand-ins and hosts and waits until all hosts have the
-// tables.
-func newDeployment(ctx context.Context, hosts int) (*deployment, error) {
+// tables. Each decode engine has the given number of slots.
+func newDeployment(ctx context.Context, hosts, slots int) (*deployment, error) {
 	d := &deployment{
 		platform: platform.New(platform.Config{}),
 		fabric:   engine.NewFabric(engine.LinkConfig{ZoneDelay: time.Millisecond}),
@@ -85,7 +85,7 @@
 		return d, err
 	}
 	d.platURL = "http://" + address
-	pools, err := d.startUpstreams()
+	pools, err := d.startUpstreams(slots)
 	if err != nil {
 		return d, err
 	}
@@ -103,8 +103,8 @@
 
 // startUpstreams starts the stand-ins of engines and services and returns the
 // pools with their addresses.
-func (d *deployment) startUpstreams() ([]domain.Pool, error) {
-	pools := demoPools()
+func (d *deployment) startUpstreams(slots int) ([]domain.Pool, error) {
+	pools := demoPools(slots)
 	for p := range pools {
 		for u := range pools[p].Upstreams {
 			up := &pools[p].Upstreams[u]
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -44,7 +44,7 @@
 }
 
 // modelPool returns a pool of engines, dealt out to the zones.
-func modelPool(name domain.PoolName, model string) domain.Pool {
+func modelPool(name domain.PoolName, model string, slots int) domain.Pool {
 	pool := domain.Pool{Name: name, Kind: domain.PoolModel, Model: model, Version: 1, ServingMinimum: 1}
 	for i := range enginesPerRole {
 		pool.Upstreams = append(pool.Upstreams,
@@ -59,7 +59,7 @@
 				ID:       domain.UpstreamID(fmt.Sprintf("%s-decode-%d", name, i+1)),
 				Zone:     zone(i),
 				Role:     domain.RoleDecode,
-				Slots:    decodeSlots,
+				Slots:    slots,
 				Pieces:   decodePieces,
 				LinkRate: linkBytesPerSec,
 			})
@@ -80,10 +80,10 @@
 }
 
 // demoPools returns the pools table without addresses.
-func demoPools() []domain.Pool {
+func demoPools(slots int) []domain.Pool {
 	return []domain.Pool{
-		modelPool(draftPool, draftModel),
-		modelPool(notePool, noteModel),
+		modelPool(draftPool, draftModel, slots),
+		modelPool(notePool, noteModel, slots),
 		servicePool("ledger"),
 		servicePool("dispatch"),
 	}
