Test that a lapsed lease stops a rollout and that flights are waited out

Cause: removing the check of the lease before each order, or the wait for orders of an earlier holder, left all tests green.

Change: two tests; each fails without its check (tried by removing it).

--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -129,6 +129,43 @@
 	return order.Version
 }
 
+// TestLeaseIsCheckedBeforeEachOrder lets the lease lapse while the first of several
+// loads is going on.
+func TestLeaseIsCheckedBeforeEachOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 6, false)
+		for _, e := range b.engines {
+			e.loadTime = 30 * time.Second
+		}
+		b.members = b.members[:1]
+		b.run()
+		b.await("orders confirmed", time.Minute, func() bool { return b.ordered() == 6 })
+		b.edit(func(p *domain.Pool) { p.Version = 2 })
+		b.await("first load", time.Minute, func() bool { return b.loading() == 1 })
+		b.set(func() { b.cutOff["h0"] = true })
+		time.Sleep(10 * time.Minute)
+		changed := 0
+		for _, e := range b.engines {
+			changed += e.version() - 1
+		}
+		if changed != 1 {
+			t.Errorf("%d engines changed, want the one that was loading when the lease lapsed", changed)
+		}
+	})
+}
+
+func TestNewHolderWaitsOutOrdersInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, false)
+		b.run()
+		time.Sleep(DefaultOrderFlight - tick)
+		if n := b.ordered(); n != 0 {
+			t.Errorf("%d engines that check no fence got an order of a new holder at once", n)
+		}
+		b.await("orders confirmed", 10*time.Second, func() bool { return b.ordered() == 2 })
+	})
+}
+
 func TestOutageStopsOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 4, false)
