--- a/cmd/greengagespoke/script_test.go
+++ b/cmd/greengagespoke/script_test.go
@@ -21,6 +21,9 @@
 const (
 	// waitLimit bounds how long a script waits for a condition.
 	waitLimit = 20 * time.Second
+	// scriptLimit bounds all scripts together. Programs that still run then are
+	// stopped.
+	scriptLimit = time.Minute
 	// waitInterval is the time between two looks at a condition.
 	waitInterval = 10 * time.Millisecond
 	// scriptPorts is the number of free ports that a script gets as $ADDR1 and on.
@@ -36,16 +39,19 @@
 //
 //	fails CODE PROGRAM ARG... runs a program that must end with the exit code
 //	expand FILE...            replaces $NAME by environment variables in files
+//	make-cert CERT KEY        writes a self-signed certificate for 127.0.0.1
 //	replace FROM TO OLD NEW   copies a file with the first OLD replaced by NEW
 //	terminate TEXT            sends SIGTERM to the background program with TEXT
 //	                          in its arguments
 //	wait-body URL REGEXP      waits until a GET of the URL answers with a match
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir:   "testdata/script",
-		Setup: setup,
+		Dir:      "testdata/script",
+		Setup:    setup,
+		Deadline: time.Now().Add(scriptLimit),
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fails":     fails,
+			"make-cert": makeCert,
 			"expand":    expandFiles,
 			"replace":   replaceText,
 			"terminate": terminate,
--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -25,9 +25,8 @@
 	}
 	g.snapshot(now)
 	for g.hasRoom() {
-		served := g.queue.Serve(func(e *fairqueue.Entry[*waiter]) bool { return g.try(e, now) })
-		g.finishRefused()
-		if served == nil {
+		served := g.queue.Serve(func(e *fairqueue.Entry[*waiter]) fairqueue.Verdict { return g.try(e, now) })
+		if !g.finishRefused() && served == nil {
 			break
 		}
 	}
@@ -59,15 +58,18 @@
 	refusal *domain.Refusal
 }
 
-// finishRefused refuses the requests that were found not to run. They leave the
-// queue only here, as it does not change while it serves.
-func (g *group) finishRefused() {
+// finishRefused refuses the requests that were found not to run and returns
+// whether there were any. They leave the queue only here, as it does not change
+// while it serves.
+func (g *group) finishRefused() bool {
+	found := len(g.refused) > 0
 	for _, r := range g.refused {
 		if r.waiter.entry.Waiting() {
 			g.finish(r.waiter, domain.Grant{}, r.refusal)
 		}
 	}
 	g.refused = g.refused[:0]
+	return found
 }
 
 // snapshot takes the state for placement decisions.
@@ -88,7 +90,7 @@
 // freeing returns the releases of a full decode upstream that may be promised.
 func (g *group) freeing(d *decodeState, now time.Time) []placement.Freeing {
 	policy := g.keeper.cfg.Policy
-	if !policy.LooksAhead() || d.freeSlots() > 0 {
+	if !policy.LooksAhead() || d.freeSlots() > 0 || g.promisesLeft(now) <= 0 {
 		return nil
 	}
 	g.ends = g.ends[:0]
@@ -112,34 +114,43 @@
 }
 
 // try grants a place to a waiting request where one fits.
-func (g *group) try(e *fairqueue.Entry[*waiter], now time.Time) bool {
+func (g *group) try(e *fairqueue.Entry[*waiter], now time.Time) fairqueue.Verdict {
 	w := e.Value
 	if w.calls == 0 || w.blockers > 0 {
-		return false
+		return fairqueue.NotReady
 	}
 	if refusal := g.refreshSuspicion(w); refusal != nil {
 		g.refused = append(g.refused, refused{w, refusal})
-		return false
+		return fairqueue.NotReady
 	}
 	if g.mustWait(w) {
-		return false
+		return fairqueue.NotReady
 	}
-	pair, ok := g.decide(w)
+	pair, ok := g.decide(w, now)
 	if !ok {
 		g.reserve(w)
-		return false
+		return noRoom(w)
 	}
 	if left, bounded := w.left(now); bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
 		g.refused = append(g.refused, refused{w, refuseLate(pair.FirstToken - left)})
-		return false
+		return fairqueue.NotReady
 	}
 	g.grant(w, pair, now)
-	return true
+	return fairqueue.Accept
+}
+
+// noRoom returns the verdict on a request that fits nowhere. One that only some
+// upstreams may run does not hold up the others of its caller.
+func noRoom(w *waiter) fairqueue.Verdict {
+	if w.req.Suspect || len(w.req.Avoid) > 0 {
+		return fairqueue.NotReady
+	}
+	return fairqueue.NoRoom
 }
 
 // decide chooses the upstreams of a waiting request.
-func (g *group) decide(w *waiter) (placement.Pair, bool) {
+func (g *group) decide(w *waiter, now time.Time) (placement.Pair, bool) {
 	for i, d := range g.decode {
 		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
 	}
@@ -147,7 +158,7 @@
 	if w.req.Suspect {
 		req.Avoid = g.avoidCrashed(&w.req)
 	}
-	return g.scheduler.Decide(&g.snap, req, &g.decision)
+	return g.decideApart(req, now)
 }
 
 func (g *group) placementRequest(req *domain.PlaceRequest) *placement.Request {
@@ -209,16 +220,16 @@
 		cost:     w.entry.Cost,
 		limit:    w.req.OutputTokens,
 		granted:  now,
+		placed:   now,
 		expires:  now.Add(grantTerm),
 		decoding: now.Add(pair.FirstToken),
-		avoid:    w.req.Avoid,
+		avoid:    g.avoidCrashed(&w.req),
 	}
 	d.take(gr)
 	g.countSuspect(gr, 1)
 	if pair.DecodeIn > 0 {
 		gr.due = now.Add(pair.DecodeIn)
-		d.promise(gr)
-		g.keeper.metrics.promises.Add(1)
+		g.promise(d, gr, now)
 	}
 	p.plan(now, pair, w.req.Suspect)
 	g.index.Expect(p.position, w.req.PieceKeys)
