--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"greengagespoke/domain"
@@ -173,9 +174,10 @@
 }
 
 // reserve keeps the next places of one decode upstream for a request that was
-// passed over too often, so that smaller requests cannot starve it.
+// passed over too often, so that smaller requests cannot starve it. A suspect
+// waits for other suspects, not for memory.
 func (g *group) reserve(w *waiter) {
-	if w.entry.Passed() < passedBound {
+	if w.entry.Passed() < passedBound || w.req.Suspect {
 		return
 	}
 	var best *decodeState
@@ -186,6 +188,9 @@
 		if d.reservedFor != nil || g.snap.Decode[i].Unusable || d.up.Pieces < w.req.Pieces() {
 			continue
 		}
+		if slices.Contains(w.req.Avoid, d.up.ID) {
+			continue
+		}
 		if best == nil || d.up.Pieces-d.pieces > best.up.Pieces-best.pieces {
 			best = d
 		}
