Doubt promises for requests with a first-token target

Change: a promised place must be in time even if it comes four times as late as predicted; else the request waits for a free one.

--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -132,7 +132,11 @@
 		g.reserve(w)
 		return false
 	}
-	if left, bounded := w.left(now); bounded && pair.FirstToken > left {
+	left, bounded := w.left(now)
+	if bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
+		return false
+	}
+	if bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
 		g.refused = append(g.refused, refused{w, refuseLate(pair.FirstToken - left)})
 		return false
--- a/keeper/policy.go
+++ b/keeper/policy.go
@@ -45,6 +45,9 @@
 	// defaultSafety promises a release for half the expected time until one of the
 	// upstream, as a promised request takes the first free place of the group.
 	defaultSafety = 0.5
+	// promiseDoubt is how much later than predicted, in multiples of the predicted
+	// time, a promised place may be for a request with a first-token target.
+	promiseDoubt = 3
 	// maxPromises bounds the promised places of one upstream.
 	maxPromises = 1
 	// promiseHorizon is the farthest release that is promised. It is less than
