--- a/fairqueue/flow.go
+++ b/fairqueue/flow.go
@@ -12,9 +12,6 @@
 	Weight float64
 	// Cost is the service that the entry asks for, in units of the user's choice.
 	Cost float64
-	// HeldBack is set while the entry is offered, where it cannot be served for a
-	// reason of its own. The next entry of the caller may then go before it.
-	HeldBack bool
 
 	flow       *flow[T]
 	prev, next *Entry[T]
@@ -34,6 +31,9 @@
 // Waiting returns whether the entry is in a queue.
 func (e *Entry[T]) Waiting() bool { return e.flow != nil }
 
+// Previous returns the entry before this one in the backlog of its caller, or nil.
+func (e *Entry[T]) Previous() *Entry[T] { return e.prev }
+
 // start returns the start tag of the entry at the head of its flow.
 func (e *Entry[T]) start() float64 { return max(e.arrival, e.flow.finish) }
 
--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -25,9 +25,8 @@
 	}
 	g.snapshot(now)
 	for g.hasRoom() {
-		served := g.queue.Serve(func(e *fairqueue.Entry[*waiter]) bool { return g.try(e, now) })
-		g.finishRefused()
-		if served == nil {
+		served := g.queue.Serve(func(e *fairqueue.Entry[*waiter]) fairqueue.Verdict { return g.try(e, now) })
+		if !g.finishRefused() && served == nil {
 			break
 		}
 	}
@@ -59,15 +58,18 @@
 	refusal *domain.Refusal
 }
 
-// finishRefused refuses the requests that were found not to run. They leave the
-// queue only here, as it does not change while it serves.
-func (g *group) finishRefused() {
+// finishRefused refuses the requests that were found not to run and returns
+// whether there were any. They leave the queue only here, as it does not change
+// while it serves.
+func (g *group) finishRefused() bool {
+	found := len(g.refused) > 0
 	for _, r := range g.refused {
 		if r.waiter.entry.Waiting() {
 			g.finish(r.waiter, domain.Grant{}, r.refusal)
 		}
 	}
 	g.refused = g.refused[:0]
+	return found
 }
 
 // snapshot takes the state for placement decisions.
@@ -112,25 +114,22 @@
 }
 
 // try grants a place to a waiting request where one fits.
-func (g *group) try(e *fairqueue.Entry[*waiter], now time.Time) bool {
+func (g *group) try(e *fairqueue.Entry[*waiter], now time.Time) fairqueue.Verdict {
 	w := e.Value
 	if w.calls == 0 || w.blockers > 0 {
-		e.HeldBack = true
-		return false
+		return fairqueue.NotReady
 	}
 	if refusal := g.refreshSuspicion(w); refusal != nil {
 		g.refused = append(g.refused, refused{w, refusal})
-		return false
+		return fairqueue.NotReady
 	}
 	if g.mustWait(w) {
-		e.HeldBack = true
-		return false
+		return fairqueue.NotReady
 	}
 	pair, ok := g.decide(w, now)
 	if !ok {
-		e.HeldBack = w.req.Suspect || len(w.req.Avoid) > 0
 		g.reserve(w)
-		return false
+		return noRoom(w)
 	}
 	left, bounded := w.left(now)
 	if bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
@@ -139,10 +138,19 @@
 	if bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
 		g.refused = append(g.refused, refused{w, refuseLate(pair.FirstToken - left)})
-		return false
+		return fairqueue.NotReady
 	}
 	g.grant(w, pair, now)
-	return true
+	return fairqueue.Accept
+}
+
+// noRoom returns the verdict on a request that fits nowhere. One that only some
+// upstreams may run does not hold up the others of its caller.
+func noRoom(w *waiter) fairqueue.Verdict {
+	if w.req.Suspect || len(w.req.Avoid) > 0 {
+		return fairqueue.NotReady
+	}
+	return fairqueue.NoRoom
 }
 
 // decide chooses the upstreams of a waiting request.
