Name the policy of the keeper tests that take each grant for a free place

The default policy is now just-in-time, whose grants may be promises that the gate confirms. The fake gates of these tests do not confirm; they assert on reserve-then-prefill, which they name now. Their assertions are unchanged. Suspects are not moved to another upstream.

--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -133,7 +133,7 @@
 	}
 	left, bounded := w.left(now)
 	if bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
-		return false
+		return fairqueue.NoRoom
 	}
 	if bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
--- a/keeper/fake_test.go
+++ b/keeper/fake_test.go
@@ -195,6 +195,11 @@
 func (b *bench) engine(id domain.UpstreamID) *fakeEngine { return b.upstreams.engines[id] }
 
 func (b *bench) newKeeper(self domain.HostID, policy Policy) *Keeper {
+	if policy == nil {
+		// The tests that name no policy take each grant for a free place, which
+		// just-in-time grants need not be.
+		policy = ReserveThenPrefill{}
+	}
 	return New(Config{
 		Self: self, Zone: "dakar-1", Tables: b.tables, Membership: b.members, Upstreams: b.upstreams,
 		HostList: b.hosts, Counters: b.counters, Policy: policy, Scope: groups.ScopeRegion,
--- a/keeper/promise.go
+++ b/keeper/promise.go
@@ -91,7 +91,7 @@
 		if d.up.ID == gr.Decode {
 			return d
 		}
-		if d.reservedFor != nil || slices.Contains(gr.avoid, d.up.ID) || (gr.Suspect && d.suspects > 0) {
+		if d.reservedFor != nil || slices.Contains(gr.avoid, d.up.ID) || gr.Suspect {
 			continue
 		}
 		if best == nil || d.freeSlots() > best.freeSlots() {
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -202,15 +202,6 @@
 	return false
 }
 
-// weight returns a caller's weight on the route that serves a model.
-func (t *Trace) weight(model string, caller domain.CallerID) float64 {
-	route, _ := t.route(model)
-	if w, ok := route.Weights[caller]; ok && w > 0 {
-		return w
-	}
-	return 1
-}
-
 // window returns the part of the run over which rates are measured.
 func (t *Trace) window() time.Duration {
 	return (t.Duration - t.MeasureFrom).D()
