--- a/internal/simnet/network.go
+++ b/internal/simnet/network.go
@@ -159,10 +159,10 @@
 	dead, cut := n.state(from, to)
 	if cut {
 		sleep(ctx, cutTimeout)
-		return errUnreachable
+		return n.fail(from, to, key)
 	}
 	if !sleep(ctx, n.delay(from, to, key)) {
-		return errUnreachable
+		return n.fail(from, to, key)
 	}
 	if dead || n.Dead(to.Name) {
 		return errUnreachable
@@ -170,6 +170,13 @@
 	return nil
 }
 
+// fail returns the error of a message that got lost. Calls that time out at one
+// instant return a few microseconds apart.
+func (n *Network) fail(from, to Node, key uint64) error {
+	time.Sleep(selfDelay(key ^ xxhash.Sum64String(from.Name+"\x00"+to.Name)))
+	return errUnreachable
+}
+
 // sleep waits for d and returns false where ctx ended before.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if ctx.Err() != nil {
