Cancel through another host where an upstream cannot be reached

Cause: with the link between two availability zones cut, a gate and the keeper of a group on one side kept failing to cancel an abandoned attempt on an engine of the other side. Its memory stayed held over the bound of 10 s, though a host of a third zone reached both sides.

Change: package relay asks other hosts to send the cancel after the direct call failed; the gate and the keeper use it. GatePeer has a Cancel call for it.

--- a/adapters/peerrpc/clients.go
+++ b/adapters/peerrpc/clients.go
@@ -120,3 +120,13 @@
 	})
 	return resp.GetFound(), fromTwirp(ctx, c.host, err)
 }
+
+// Cancel implements ports.GatePeer.
+func (c gateClient) Cancel(ctx context.Context, pool domain.PoolName, upstream domain.UpstreamID, id domain.AttemptID) error {
+	_, err := c.rpc.Cancel(ctx, &peerpb.CancelRequest{
+		Pool:     string(pool),
+		Upstream: string(upstream),
+		Id:       attemptToPB(id),
+	})
+	return fromTwirp(ctx, c.host, err)
+}
--- a/adapters/peerrpc/peers_test.go
+++ b/adapters/peerrpc/peers_test.go
@@ -22,6 +22,7 @@
 	err         error
 	gotDeadline bool
 	grant       domain.Grant
+	canceled    []string
 	unreachable
 }
 
@@ -44,6 +45,11 @@
 	return msg, f.err
 }
 
+func (f *fakeHost) Cancel(_ context.Context, pool domain.PoolName, upstream domain.UpstreamID, id domain.AttemptID) error {
+	f.canceled = []string{string(pool), string(upstream), id.Key().String()}
+	return f.err
+}
+
 func (f *fakeHost) Supersede(_ context.Context, _ domain.RequestKey, attempt int) (bool, error) {
 	return attempt > 1, f.err
 }
@@ -98,6 +104,10 @@
 	if err != nil || !found {
 		t.Errorf("supersede: got %v, %v", found, err)
 	}
+	err = peers.GatePeer("b").Cancel(ctx, "drafting", "decode-1", id)
+	if wanted := []string{"drafting", "decode-1", id.Key().String()}; err != nil || !reflect.DeepEqual(host.canceled, wanted) {
+		t.Errorf("cancel: got %v, %v", host.canceled, err)
+	}
 }
 
 func TestErrorsKeepTheirKind(t *testing.T) {
--- a/adapters/peerrpc/services.go
+++ b/adapters/peerrpc/services.go
@@ -93,3 +93,9 @@
 	found, err := s.gate.Supersede(ctx, key, int(req.GetAttempt()))
 	return &peerpb.SupersedeResponse{Found: found}, toTwirp(err)
 }
+
+func (s gateService) Cancel(ctx context.Context, req *peerpb.CancelRequest) (*peerpb.Empty, error) {
+	pool, upstream := domain.PoolName(req.GetPool()), domain.UpstreamID(req.GetUpstream())
+	err := s.gate.Cancel(ctx, pool, upstream, attemptFromPB(req.GetId()))
+	return &peerpb.Empty{}, toTwirp(err)
+}
--- a/adapters/peerrpc/unreachable.go
+++ b/adapters/peerrpc/unreachable.go
@@ -60,3 +60,8 @@
 func (unreachable) Supersede(context.Context, domain.RequestKey, int) (bool, error) {
 	return false, ports.ErrPeerUnreachable
 }
+
+// Cancel implements ports.GatePeer.
+func (unreachable) Cancel(context.Context, domain.PoolName, domain.UpstreamID, domain.AttemptID) error {
+	return ports.ErrPeerUnreachable
+}
--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -17,7 +17,7 @@
 var decisions = []string{
 	"domain", "ports", "counters", "groups", "routing", "placement", "keeper", "claims", "quarantine",
 	"tables", "membership", "orders", "entrypoints", "fairqueue", "retry",
-	"hostwatch", "host", "leases", "storeguard",
+	"hostwatch", "host", "leases", "storeguard", "relay",
 }
 
 // TestImportsPointInwards checks that decisions import neither adapters nor
--- a/internal/simnet/peers.go
+++ b/internal/simnet/peers.go
@@ -207,3 +207,13 @@
 	})
 	return found, err
 }
+
+// Cancel implements ports.GatePeer.
+func (p *peer) Cancel(ctx context.Context, pool domain.PoolName, upstream domain.UpstreamID, id domain.AttemptID) error {
+	return p.call(ctx, messageKey("relay-cancel", upstream, id), func(h Handlers) error {
+		if h.Gate == nil {
+			return ports.ErrPeerUnreachable
+		}
+		return h.Gate.Cancel(ctx, pool, upstream, id)
+	})
+}
--- a/keeper/attempts_test.go
+++ b/keeper/attempts_test.go
@@ -22,6 +22,7 @@
 }
 
 type fakeGate struct {
+	ports.GatePeer
 	gates *fakeGates
 	host  domain.HostID
 }
@@ -167,3 +168,47 @@
 		cancel()
 	})
 }
+
+// relayingGates cancel at an engine that the keeper's host does not reach.
+type relayingGates struct {
+	canceled chan domain.UpstreamID
+}
+
+func (r relayingGates) GatePeer(domain.HostID) ports.GatePeer { return relayingGate{gates: r} }
+
+type relayingGate struct {
+	ports.GatePeer
+	gates relayingGates
+}
+
+func (r relayingGate) Cancel(_ context.Context, pool domain.PoolName, upstream domain.UpstreamID, _ domain.AttemptID) error {
+	if pool == "m" {
+		r.gates.canceled <- upstream
+	}
+	return nil
+}
+
+// TestExpiredGrantIsCanceledThroughAnotherHost checks that the memory of a gone
+// gate is freed also where the keeper does not reach the engine.
+func TestExpiredGrantIsCanceledThroughAnotherHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 2, 4, 100}, ReserveThenPrefill{})
+		gates := relayingGates{canceled: make(chan domain.UpstreamID, 10)}
+		// The only other host is not in the group's zones, so h1 keeps the group.
+		b.members.set(member("h1"), domain.Member{ID: "h2", Zone: "lima-1", State: domain.MemberAlive})
+		k := New(Config{
+			Self: "h1", Zone: "dakar-1", Tables: b.tables, Membership: b.members, Upstreams: b.upstreams,
+			Counters: b.counters, Policy: ReserveThenPrefill{}, GatePeers: gates,
+		})
+		defer b.start(t, k)()
+		grant := mustAcquire(t, k, place("a", "1", 1))
+		b.engine(grant.Decode).setDown(true)
+		began := time.Now()
+		if got := <-gates.canceled; got != grant.Decode {
+			t.Errorf("canceled at %s through another host, want %s", got, grant.Decode)
+		}
+		if took := time.Since(began); took > grantTerm+2*sweepInterval {
+			t.Errorf("canceled after %v", took)
+		}
+	})
+}
--- a/keeper/config.go
+++ b/keeper/config.go
@@ -62,8 +62,9 @@
 	Counters *counters.Set
 	// Policy decides when places are promised; nil means JustInTime.
 	Policy Policy
-	// GatePeers lets a gate end an attempt that a newer one replaces. It may be
-	// nil: then the attempt is canceled on its engines only.
+	// GatePeers lets a gate end an attempt that a newer one replaces, and cancel
+	// at an engine that this host cannot reach. It may be nil: then attempts are
+	// canceled on their engines only, by this host.
 	GatePeers GatePeers
 	// Quarantine is told of crashes and asked about requests. It may be nil.
 	Quarantine Quarantine
--- a/keeper/group.go
+++ b/keeper/group.go
@@ -17,6 +17,7 @@
 // by it.
 type group struct {
 	id     domain.GroupID
+	pool   domain.PoolName
 	keeper *Keeper
 	// confirmed is the time of the last check that this host keeps the group, in
 	// nanoseconds since the epoch.
@@ -99,6 +100,7 @@
 	index := placement.NewPrefixIndex(groups.MaxUpstreams, placement.DefaultIndexPieces)
 	g := &group{
 		id:        def.ID,
+		pool:      def.Pool,
 		keeper:    k,
 		byDecode:  make(map[domain.UpstreamID]*decodeState),
 		grants:    make(map[domain.GrantID]*grant),
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -21,6 +21,7 @@
 	"greengagespoke/fairqueue"
 	"greengagespoke/groups"
 	"greengagespoke/ports"
+	"greengagespoke/relay"
 )
 
 // Keeper grants the places of the groups that this host keeps. It implements
@@ -34,6 +35,8 @@
 	stopped  atomic.Bool
 
 	tasks *tasks
+	// cancels frees the memory of revoked grants and of attempts without one.
+	cancels *relay.Canceler
 
 	mu     sync.RWMutex
 	groups map[domain.GroupID]*group
@@ -63,7 +66,14 @@
 		metrics: newMetrics(cfg.Counters),
 		epoch:   time.Now().UnixNano(),
 		tasks:   newTasks(),
-		groups:  make(map[domain.GroupID]*group),
+		cancels: relay.New(relay.Config{
+			Upstreams:  cfg.Upstreams,
+			Membership: cfg.Membership,
+			Peers:      cfg.GatePeers,
+			Timeout:    engineCallTimeout,
+			Counters:   cfg.Counters,
+		}),
+		groups: make(map[domain.GroupID]*group),
 	}
 }
 
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -11,6 +11,7 @@
 
 	"greengagespoke/domain"
 	"greengagespoke/ports"
+	"greengagespoke/relay"
 )
 
 const (
@@ -154,6 +155,6 @@
 func (g *group) cancelStray(up domain.Upstream, id domain.AttemptID) {
 	g.keeper.metrics.strays.Add(1)
 	g.keeper.tasks.spawn(func(ctx context.Context) {
-		_ = g.keeper.cancelOnce(ctx, up, id)
+		_ = g.keeper.cancelOnce(ctx, relay.Attempt{ID: id, Pool: g.pool, Upstream: up})
 	})
 }
--- a/keeper/revoke.go
+++ b/keeper/revoke.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"greengagespoke/domain"
+	"greengagespoke/relay"
 )
 
 const (
@@ -47,7 +48,7 @@
 			g.keeper.tellGate(ctx, gr.Holder, gr.Request.Key(), newer)
 		}
 		for _, up := range engines {
-			g.keeper.cancelOn(ctx, up, gr.Request)
+			g.keeper.cancelOn(ctx, relay.Attempt{ID: gr.Request, Pool: g.pool, Upstream: up})
 		}
 		g.revoked(gr)
 	})
@@ -122,18 +123,17 @@
 
 // cancelOn cancels an attempt on an engine and repeats it until the engine
 // acknowledges.
-func (k *Keeper) cancelOn(ctx context.Context, up domain.Upstream, id domain.AttemptID) {
+func (k *Keeper) cancelOn(ctx context.Context, attempt relay.Attempt) {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = cancelBackoff
 	wait.MaxInterval = cancelBackoffMax
 	wait.RandomizationFactor = 0
-	call := func() (struct{}, error) { return struct{}{}, k.cancelOnce(ctx, up, id) }
+	call := func() (struct{}, error) { return struct{}{}, k.cancelOnce(ctx, attempt) }
 	_, _ = backoff.Retry(ctx, call, backoff.WithBackOff(wait), backoff.WithMaxElapsedTime(cancelBound))
 }
 
-func (k *Keeper) cancelOnce(ctx context.Context, up domain.Upstream, id domain.AttemptID) error {
-	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
-	defer cancel()
+// cancelOnce cancels an attempt on an engine, through another host where needed.
+func (k *Keeper) cancelOnce(ctx context.Context, attempt relay.Attempt) error {
 	k.metrics.cancels.Add(1)
-	return k.cfg.Upstreams.Engine(up).Cancel(ctx, id)
+	return k.cancels.Cancel(ctx, attempt)
 }
--- a/ports/peers.go
+++ b/ports/peers.go
@@ -85,6 +85,11 @@
 	// Supersede ends the host's earlier attempts at a request, so that a newer
 	// attempt elsewhere can deliver. It returns whether there was one.
 	Supersede(ctx context.Context, key domain.RequestKey, attempt int) (found bool, err error)
+	// Cancel cancels an attempt at an upstream for a host that cannot reach it.
+	// The called host finds the upstream in its own tables, makes one bounded
+	// call and asks no further host. An error means that the upstream did not
+	// acknowledge.
+	Cancel(ctx context.Context, pool domain.PoolName, upstream domain.UpstreamID, id domain.AttemptID) error
 }
 
 // Peers gives access to other entry hosts by identifier. The own identifier
--- a/routing/gate.go
+++ b/routing/gate.go
@@ -15,6 +15,7 @@
 	"greengagespoke/domain"
 	"greengagespoke/groups"
 	"greengagespoke/internal/shard"
+	"greengagespoke/relay"
 	"greengagespoke/retry"
 )
 
@@ -29,13 +30,14 @@
 	counterExpired    = counters.Define("routing_prefill_expired_total", "Prefill results that expired before their transfer.")
 	counterCancels    = counters.Define("routing_cancels_sent_total", "Cancel calls sent to engines.")
 	counterSuperseded = counters.Define("routing_superseded_total", "Requests ended because the caller sent them again.")
+	counterRelayed    = counters.Define("routing_cancels_relayed_total", "Cancel calls sent to engines for hosts that could not reach them.")
 	counterCrashes    = counters.Define("routing_upstream_crashes_total", "Decode streams lost because the upstream died.")
 )
 
 type gateCounters struct {
 	accepted, answered, refused, callerGone   *expvar.Int
 	retries, resumes, stalls, expired         *expvar.Int
-	cancels, superseded, crashes              *expvar.Int
+	cancels, relayed, superseded, crashes     *expvar.Int
 	serviceCalls, serviceRetries, serviceOnce *expvar.Int
 }
 
@@ -45,6 +47,8 @@
 	cfg    Config
 	timing Timing
 	count  gateCounters
+	// cancels frees the memory of abandoned attempts.
+	cancels *relay.Canceler
 
 	flights *shard.Map[domain.RequestKey, *flight]
 	held    *shard.Map[domain.GrantID, heldGrant]
@@ -69,9 +73,10 @@
 	}
 	base, closeBase := context.WithCancel(context.Background())
 	set := cfg.Counters
+	timing := cfg.Timing.withDefaults()
 	return &Gate{
 		cfg:    cfg,
-		timing: cfg.Timing.withDefaults(),
+		timing: timing,
 		count: gateCounters{
 			accepted:       set.Int(counterAccepted),
 			answered:       set.Int(counterAnswered),
@@ -82,12 +87,20 @@
 			stalls:         set.Int(counterStalls),
 			expired:        set.Int(counterExpired),
 			cancels:        set.Int(counterCancels),
+			relayed:        set.Int(counterRelayed),
 			superseded:     set.Int(counterSuperseded),
 			crashes:        set.Int(counterCrashes),
 			serviceCalls:   set.Int(counterServiceCalls),
 			serviceRetries: set.Int(counterServiceRetries),
 			serviceOnce:    set.Int(counterServiceOnce),
 		},
+		cancels: relay.New(relay.Config{
+			Upstreams:  cfg.Upstreams,
+			Membership: cfg.Membership,
+			Peers:      cfg.Peers,
+			Timeout:    timing.Cancel,
+			Counters:   set,
+		}),
 		flights:   shard.NewMap[domain.RequestKey, *flight](),
 		held:      shard.NewMap[domain.GrantID, heldGrant](),
 		budgets:   shard.NewMap[domain.RouteName, *retry.Budget](),
--- a/routing/gate_test.go
+++ b/routing/gate_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/ports"
 	"greengagespoke/standin/engine"
 )
 
@@ -256,3 +257,26 @@
 	}
 	return refusal
 }
+
+// TestCancelForAnotherHost checks that a gate cancels at an upstream of its own
+// tables for a host that does not reach it, and says so where it has no such row.
+func TestCancelForAnotherHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 10, engine.FrameFaults{})
+		id := domain.AttemptID{Caller: "firm-a", Request: "r", Attempt: 1}
+		_, err := r.engines["p1"].Prefill(t.Context(), ports.PrefillRequest{ID: id, Model: testModel, Prompt: testPrompt, MaxTokens: 10})
+		if err != nil || r.held() != 1 {
+			t.Fatalf("prefill: %v, %d held", err, r.held())
+		}
+		for _, wrong := range [][2]string{{"drafting", "p9"}, {"other", "p1"}} {
+			err := r.gate.Cancel(t.Context(), domain.PoolName(wrong[0]), domain.UpstreamID(wrong[1]), id)
+			var engineErr *ports.EngineError
+			if !errors.As(err, &engineErr) || engineErr.Kind != ports.EngineInvalid || r.held() != 1 {
+				t.Errorf("cancel at %v: %v", wrong, err)
+			}
+		}
+		if err := r.gate.Cancel(t.Context(), "drafting", "p1", id); err != nil || r.held() != 0 {
+			t.Errorf("cancel: %v, %d held", err, r.held())
+		}
+	})
+}
--- a/routing/release.go
+++ b/routing/release.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"greengagespoke/domain"
 	"greengagespoke/groups"
 	"greengagespoke/ports"
+	"greengagespoke/relay"
 )
 
 // cancelPause is the pause between repeated cancels.
@@ -73,11 +75,10 @@
 		g.cfg.Quarantine.Crashed(p.decode.ID, []uint64{f.fingerprint})
 		g.releaseNow(g.base, p, release)
 	}
-	id := p.grant.Request
-	g.background(func(ctx context.Context) { g.cancelAt(ctx, p.prefill, id) })
+	g.background(func(ctx context.Context) { g.cancelAt(ctx, p, p.prefill) })
 	freed := make(chan struct{})
 	g.background(func(ctx context.Context) {
-		g.cancelAt(ctx, p.decode, id)
+		g.cancelAt(ctx, p, p.decode)
 		g.releaseNow(ctx, p, release)
 		close(freed)
 	})
@@ -111,14 +112,16 @@
 	}
 }
 
-// cancelAt cancels an attempt at an upstream until the upstream acknowledges,
-// the give-up time passes or the gate closes.
-func (g *Gate) cancelAt(ctx context.Context, up domain.Upstream, id domain.AttemptID) {
+// cancelAt cancels the attempt of a place at an upstream, through another host
+// where needed, until the upstream acknowledges, the give-up time passes or the
+// gate closes.
+func (g *Gate) cancelAt(ctx context.Context, p place, up domain.Upstream) {
 	ctx, stop := context.WithTimeout(ctx, g.timing.CancelGiveUp)
 	defer stop()
-	engine := g.cfg.Upstreams.Engine(up)
+	attempt := relay.Attempt{ID: p.grant.Request, Pool: p.grant.Pool, Upstream: up}
 	for {
-		if g.cancelOnce(ctx, engine, id) == nil {
+		g.count.cancels.Add(1)
+		if g.cancels.Cancel(ctx, attempt) == nil {
 			return
 		}
 		if !sleep(ctx, g.jitter(cancelPause)) {
@@ -127,11 +130,20 @@
 	}
 }
 
-func (g *Gate) cancelOnce(ctx context.Context, engine ports.Engine, id domain.AttemptID) error {
+// Cancel implements ports.GatePeer.
+func (g *Gate) Cancel(ctx context.Context, pool domain.PoolName, upstream domain.UpstreamID, id domain.AttemptID) error {
+	row, _ := g.cfg.Tables.Pool(pool)
+	i := slices.IndexFunc(row.Upstreams, func(up domain.Upstream) bool { return up.ID == upstream })
+	if i < 0 {
+		return &ports.EngineError{
+			Kind: ports.EngineInvalid, Upstream: upstream,
+			Message: "not in pool " + string(pool) + " on this host; ask a host with a newer table revision",
+		}
+	}
 	ctx, stop := context.WithTimeout(ctx, g.timing.Cancel)
 	defer stop()
-	g.count.cancels.Add(1)
-	return engine.Cancel(ctx, id)
+	g.count.relayed.Add(1)
+	return g.cfg.Upstreams.Engine(row.Upstreams[i]).Cancel(ctx, id)
 }
 
 // releaseLater gives a grant back without making the caller wait.
