Keep a reserved upstream for suspects only where they may use it

Cause: suspects reserved nothing since they had reserved upstreams that they could not use, so a large suspect was starved by small requests. Change: a suspect reserves an upstream that runs no other suspect and did not crash with it. Conclusion: TestLargeRequestIsNotStarved covers suspects; it fails without the change.

--- a/keeper/attempts_test.go
+++ b/keeper/attempts_test.go
@@ -144,6 +144,12 @@
 }
 
 func TestLargeRequestIsNotStarved(t *testing.T) {
+	for _, suspect := range []bool{false, true} {
+		t.Run(fmt.Sprint("suspect ", suspect), func(t *testing.T) { serveLargeAmongSmall(t, suspect) })
+	}
+}
+
+func serveLargeAmongSmall(t *testing.T, suspect bool) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(size{1, 1, 4, 8}, ReserveThenPrefill{})
 		defer b.start(t, b.keeper)()
@@ -164,6 +170,7 @@
 		synctest.Wait()
 		large := place("large", "1", 1)
 		large.PromptTokens = 7 * domain.PieceTokens
+		large.Suspect = suspect
 		mustAcquireInTime(t, b.keeper, large, 30*time.Second)
 		cancel()
 	})
--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -178,21 +178,18 @@
 }
 
 // reserve keeps the next places of one decode upstream for a request that was
-// passed over too often, so that smaller requests cannot starve it. A suspect
-// waits for other suspects, not for memory.
+// passed over too often, so that smaller requests cannot starve it.
 func (g *group) reserve(w *waiter) {
-	if w.entry.Passed() < passedBound || w.req.Suspect {
+	if w.entry.Passed() < passedBound {
 		return
 	}
+	avoid := g.avoidCrashed(&w.req)
 	var best *decodeState
 	for i, d := range g.decode {
 		if d.reservedFor == w {
 			return
 		}
-		if d.reservedFor != nil || g.snap.Decode[i].Unusable || d.up.Pieces < w.req.Pieces() {
-			continue
-		}
-		if slices.Contains(w.req.Avoid, d.up.ID) {
+		if d.reservedFor != nil || g.snap.Decode[i].Unusable || !mayHold(d, w, avoid) {
 			continue
 		}
 		if best == nil || d.up.Pieces-d.pieces > best.up.Pieces-best.pieces {
@@ -204,6 +201,16 @@
 	}
 }
 
+// mayHold returns whether an upstream could run a request once its memory is
+// free. A suspect waits for the end of another suspect elsewhere, as nothing else
+// may use a reserved upstream meanwhile.
+func mayHold(d *decodeState, w *waiter, avoid []domain.UpstreamID) bool {
+	if w.req.Suspect && d.suspects > 0 {
+		return false
+	}
+	return d.up.Pieces >= w.req.Pieces() && !slices.Contains(avoid, d.up.ID)
+}
+
 // grant gives a waiting request its place.
 func (g *group) grant(w *waiter, pair placement.Pair, now time.Time) {
 	d, p := g.decode[pair.Decode], g.prefill[pair.Prefill]
