--- a/fairqueue/class.go
+++ b/fairqueue/class.go
@@ -104,19 +104,21 @@
 	}
 }
 
-// serve offers the heads of at most maxOffers flows in order of their start
-// tags, and the entries behind heads that are held back. It takes the first
-// entry that try accepts.
-func (c *classQueue[T]) serve(try func(*Entry[T]) bool) *Entry[T] {
+// serve offers entries of the flows in order of their start tags, maxOffers in
+// all, and takes the first that try accepts.
+func (c *classQueue[T]) serve(try func(*Entry[T]) Verdict) *Entry[T] {
 	c.offered = c.offered[:0]
 	var taken *Entry[T]
-	for len(c.offered) < maxOffers {
+	for offers := 0; offers < maxOffers; {
 		f := c.active.min()
 		if f == nil {
 			break
 		}
-		if taken = f.offer(try); taken != nil {
-			c.take(taken)
+		e, n := f.offer(try, maxOffers-offers)
+		offers += n
+		if e != nil {
+			taken = e
+			c.take(f, e)
 			break
 		}
 		c.active.remove(f)
@@ -132,26 +134,24 @@
 	return taken
 }
 
-// offer offers the first entry that is not held back, and those that are before
-// it. It returns the entry that try accepted.
-func (f *flow[T]) offer(try func(*Entry[T]) bool) *Entry[T] {
-	e := f.head
-	for offers := 0; e != nil && offers < maxOffers; offers++ {
-		e.HeldBack = false
-		if try(e) {
-			return e
+// offer offers the first entry of the flow that is ready, and returns it if it
+// was accepted, with the number of offers.
+func (f *flow[T]) offer(try func(*Entry[T]) Verdict, limit int) (*Entry[T], int) {
+	n := 0
+	for e := f.head; e != nil && n < limit; e = e.next {
+		n++
+		switch try(e) {
+		case Accept:
+			return e, n
+		case NoRoom:
+			return nil, n
 		}
-		if !e.HeldBack {
-			return nil
-		}
-		e = e.next
 	}
-	return nil
+	return nil, n
 }
 
 // take removes an entry and charges its cost to its flow.
-func (c *classQueue[T]) take(e *Entry[T]) {
-	f := e.flow
+func (c *classQueue[T]) take(f *flow[T], e *Entry[T]) {
 	f.finish = e.start() + e.Cost/e.weight()
 	c.maxFinish = max(c.maxFinish, f.finish)
 	c.virtual += e.Cost / c.weight
--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -31,13 +31,16 @@
 	// Resent counts sends after a broken connection or a refusal.
 	Resent   int
 	Problems []string
-	// canceled are requests whose caller went away.
-	keys []domain.RequestKey
+	// waiting are the model requests whose caller still wants the answer.
+	waiting map[domain.RequestKey]bool
 }
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{Refused: make(map[domain.RefusalKind]int)}
+	return &Book{
+		Refused: make(map[domain.RefusalKind]int),
+		waiting: make(map[domain.RequestKey]bool),
+	}
 }
 
 func (b *Book) note(f func()) {
@@ -46,6 +49,13 @@
 	f()
 }
 
+// wanted reports whether a caller waits for the answer to a request.
+func (b *Book) wanted(key domain.RequestKey) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.waiting[key]
+}
+
 // Problem records a broken promise.
 func (b *Book) Problem(format string, args ...any) {
 	b.note(func() { b.Problems = append(b.Problems, fmt.Sprintf(format, args...)) })
@@ -57,6 +67,7 @@
 	book   *Book
 	c      domain.Completion
 	want   engine.Answer
+	length int
 	text   strings.Builder
 	tokens int
 	whole  bool
@@ -66,12 +77,13 @@
 // it is sent again through another host, with what has arrived. A caller whose
 // ctx ends goes away.
 func (f *Fleet) Draft(ctx context.Context, book *Book, caller domain.CallerID, n int, prompt string) {
-	d := &draft{fleet: f, book: book, want: engine.AnswerTo(prompt)}
+	d := &draft{fleet: f, book: book, want: engine.AnswerTo(prompt), length: answerLength(prompt)}
 	d.c = domain.Completion{Caller: caller, Request: domain.RequestID(fmt.Sprintf("draft-%d", n)), Model: Model, Prompt: prompt}
 	book.note(func() {
 		book.Sent++
-		book.keys = append(book.keys, d.c.Key())
+		book.waiting[d.c.Key()] = true
 	})
+	defer book.note(func() { delete(book.waiting, d.c.Key()) })
 	var last *domain.Refusal
 	for send := 1; send <= maxSends; send++ {
 		if ctx.Err() != nil {
@@ -101,13 +113,9 @@
 
 // send makes one send. It returns done where the request has its final outcome.
 func (d *draft) send(ctx context.Context, n, send int) (*domain.Refusal, bool) {
-	m, ok := d.fleet.alive(n + send)
-	if !ok {
-		return nil, false
-	}
-	connection, h, ok := d.fleet.running(m)
-	if !ok {
-		return nil, false
+	connection, h, refusal := d.fleet.connect(d.c.Caller, n+send)
+	if h == nil {
+		return refusal, false
 	}
 	reqCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -129,7 +137,7 @@
 	if err == nil {
 		return nil, true
 	}
-	refusal, _ := domain.AsRefusal(err)
+	refusal, _ = domain.AsRefusal(err)
 	if refusal == nil {
 		d.book.Problem("%s: error without a refusal: %v", d.c.Key(), err)
 		return nil, true
@@ -154,7 +162,7 @@
 // finish records the final outcome of a request.
 func (d *draft) finish(ctx context.Context, refusal *domain.Refusal) {
 	if refusal == nil {
-		if !d.whole || d.tokens != answerTokens {
+		if !d.whole || d.tokens != d.length {
 			d.book.Problem("%s: answer ended after %d tokens", d.c.Key(), d.tokens)
 		}
 		d.book.note(func() { d.book.Answered++ })
@@ -213,13 +221,9 @@
 // sendClosure makes one send of a call. No refusal and no answer means that the
 // connection broke.
 func (f *Fleet) sendClosure(ctx context.Context, n, send int, call routing.ServiceCall) (*domain.Refusal, bool) {
-	m, ok := f.alive(n + send)
-	if !ok {
-		return nil, false
-	}
-	connection, h, ok := f.running(m)
-	if !ok {
-		return nil, false
+	connection, h, refusal := f.connect(call.Caller, n+send)
+	if h == nil {
+		return refusal, false
 	}
 	reqCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -231,6 +235,6 @@
 	if err == nil {
 		return nil, true
 	}
-	refusal, _ := domain.AsRefusal(err)
+	refusal, _ = domain.AsRefusal(err)
 	return refusal, false
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,23 +23,29 @@
 	Model       = "drafting-models"
 	modelPool   = domain.PoolName("drafting")
 	ledgerPool  = domain.PoolName("ledger")
+	draftsRoute = "drafts"
 	ClosurePath = "/ledger/closures"
 	StatusPath  = "/ledger/status"
 )
 
 const (
-	zones             = 3
-	localDelay        = time.Millisecond
-	zoneDelay         = 5 * time.Millisecond
-	jitter            = 500 * time.Microsecond
-	decodeSlots       = 20
-	decodePieces      = 200
-	prefillRate       = 20_000
-	linkBytesPerSec   = 10 << 30
-	answerTokens      = 40
-	maxOutputTokens   = 200
+	zones           = 3
+	localDelay      = time.Millisecond
+	zoneDelay       = 5 * time.Millisecond
+	jitter          = 500 * time.Microsecond
+	decodeSlots     = 20
+	decodePieces    = 200
+	prefillRate     = 20_000
+	linkBytesPerSec = 10 << 30
+	shortAnswer     = 40
+	longAnswer      = 400
+	maxOutputTokens = 1000
+	// resumeGrace is so long that an engine does not free memory by itself.
+	resumeGrace       = time.Hour
 	retryPercent      = 20
-	serviceLatency    = 3 * time.Millisecond
+	serviceLatency    = 50 * time.Millisecond
+	frameFaultPercent = 2
+	frameLate         = 100 * time.Millisecond
 	serviceTimeout    = 5 * time.Second
 	engineRestart     = 3 * time.Second
 	entryPointsMaxAge = 2 * time.Second
@@ -75,9 +82,10 @@
 	// upstreams counts the upstreams, to give each an address of its own.
 	upstreams int
 
-	mu    sync.Mutex
-	Hosts []*Member
-	wg    sync.WaitGroup
+	mu        sync.Mutex
+	Hosts     []*Member
+	addresses map[domain.CallerID]*addressList
+	wg        sync.WaitGroup
 }
 
 // Member is one entry host of the fleet.
@@ -93,6 +101,8 @@
 	disconnect  context.CancelFunc
 	incarnation int
 	stopped     bool
+	// busy says that a fault works on the host.
+	busy bool
 }
 
 // Start builds a fleet and waits until every host has the tables. It ends with
@@ -104,9 +114,10 @@
 		Network: simnet.New(simnet.Config{
 			LocalDelay: localDelay, ZoneDelay: zoneDelay, Jitter: jitter, LossPercent: cfg.LossPercent, Seed: cfg.Seed,
 		}),
-		Fabric:   engine.NewFabric(engine.LinkConfig{ZoneDelay: zoneDelay}),
-		Ledger:   service.NewLedger(),
-		services: make(map[domain.UpstreamID]*service.Service),
+		Fabric:    engine.NewFabric(engine.LinkConfig{ZoneDelay: zoneDelay}),
+		Ledger:    service.NewLedger(),
+		services:  make(map[domain.UpstreamID]*service.Service),
+		addresses: make(map[domain.CallerID]*addressList),
 	}
 	f.Platform.SetHostLag(hostListLag)
 	f.Editor = tables.NewEditor(tables.EditorConfig{Store: f.Platform.Tables(), Clock: ports.SystemClock{}})
@@ -166,8 +177,8 @@
 	}{
 		{domain.TablePools, string(modelPool), model},
 		{domain.TablePools, string(ledgerPool), ledger},
-		{domain.TableRoutes, "drafts", domain.Route{
-			Name: "drafts", Pool: modelPool, Model: Model, Class: domain.ClassPatient,
+		{domain.TableRoutes, draftsRoute, domain.Route{
+			Name: draftsRoute, Pool: modelPool, Model: Model, Class: domain.ClassPatient,
 			MaxOutputTokens: maxOutputTokens, RetryPercent: retryPercent, MaxWaitingPerCaller: 1000,
 			BetweenTokens: domain.Duration(67 * time.Millisecond),
 		}},
@@ -194,10 +205,25 @@
 	return f.Editor.Apply(ctx, domain.Edit{ID: id, Table: table, Row: row, BaseVersion: base, Value: data, Editor: "operator"})
 }
 
+// longMark in a prompt asks for a long answer.
+const longMark = "(long)"
+
+// answerLength returns the length of the answer to a prompt in tokens.
+func answerLength(prompt string) int {
+	if strings.Contains(prompt, longMark) {
+		return longAnswer
+	}
+	return shortAnswer
+}
+
 func (f *Fleet) startEngine(up domain.Upstream) domain.Upstream {
 	e := engine.New(engine.Config{
 		Upstream: up, Model: Model, Fabric: f.Fabric, RestartAfter: engineRestart, Seed: f.cfg.Seed,
-		OutputTokens: func(_ string, limit int) int { return min(limit, answerTokens) },
+		OutputTokens: func(prompt string, _ int) int { return answerLength(prompt) },
+		ResumeGrace:  resumeGrace,
+		Frames: engine.FrameFaults{
+			LatePercent: frameFaultPercent, Late: frameLate, DoubledPercent: frameFaultPercent, SwappedPercent: frameFaultPercent,
+		},
 	})
 	f.Engines = append(f.Engines, e)
 	return f.listUpstream(e.Upstream())
@@ -211,10 +237,14 @@
 func (f *Fleet) listUpstream(up domain.Upstream) domain.Upstream {
 	f.upstreams++
 	up.Address = fmt.Sprintf("127.0.0.1:%d", f.upstreams)
-	f.Platform.SetHost(ports.ListedHost{Name: string(up.ID), Zone: up.Zone})
+	f.Platform.SetHost(listedUpstream(up))
 	return up
 }
 
+func listedUpstream(up domain.Upstream) ports.ListedHost {
+	return ports.ListedHost{Name: string(up.ID), Zone: up.Zone}
+}
+
 // Wait waits for all hosts and stops the engines. The fleet's context must have
 // ended.
 func (f *Fleet) Wait() {
--- a/keeper/grants.go
+++ b/keeper/grants.go
@@ -27,6 +27,7 @@
 			lost = append(lost, wanted.ID)
 		}
 	}
+	g.dispatch(now)
 	return lost
 }
 
@@ -171,6 +172,9 @@
 		g.keeper.metrics.dropped.Add(1)
 		g.finish(w, domain.Grant{}, refuseWithdrawn())
 	}
+	for _, u := range g.upstreams() {
+		g.cancelStrays(u, now)
+	}
 	g.forgetEnded(now)
 	g.dispatch(now)
 }
