--- a/adapters/cli/fleet.go
+++ b/adapters/cli/fleet.go
@@ -35,6 +35,8 @@
 	Unreadable []string `json:"unreadable,omitempty"`
 
 	address string
+	// members is what the host said of the others.
+	members []domain.Member
 }
 
 // fleet asks hosts for the revision that they have in force.
@@ -69,6 +71,7 @@
 		})
 	}
 	_ = group.Wait()
+	fillFromPeers(states)
 	sort.Slice(states, func(i, j int) bool {
 		if states[i].Zone != states[j].Zone {
 			return states[i].Zone < states[j].Zone
@@ -142,6 +145,30 @@
 	return nil
 }
 
+// fillFromPeers gives each host that did not answer the state and revision that
+// the others know of, taken from the newest statement about it.
+func fillFromPeers(states []hostState) {
+	newest := make(map[domain.HostID]domain.Member)
+	for _, s := range states {
+		for _, m := range s.members {
+			if old, seen := newest[m.ID]; !seen || m.Incarnation > old.Incarnation {
+				newest[m.ID] = m
+			}
+		}
+	}
+	for i := range states {
+		s := &states[i]
+		m, seen := newest[s.Host]
+		if s.Answered || !seen {
+			continue
+		}
+		s.Revision = max(s.Revision, m.Revision)
+		if m.State != domain.MemberAlive {
+			s.State = m.State
+		}
+	}
+}
+
 // ask fills in what a host says about itself.
 func (f *fleet) ask(ctx context.Context, access storeAccess, s *hostState) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
@@ -161,6 +188,7 @@
 		return
 	}
 	s.Answered = true
+	s.members = status.Members
 	s.Revision = status.Revision
 	s.Unreadable = status.Unreadable
 	s.State = domain.MemberAlive
--- a/adapters/cli/wait_flags.go
+++ b/adapters/cli/wait_flags.go
@@ -49,7 +49,7 @@
 		if err == nil {
 			behind = behindOf(states, revision)
 			if len(behind) == 0 {
-				printf(streams.Out, "revision %d is in force on all %d hosts\n", revision, len(states))
+				printf(streams.Out, "revision %d is in force on all %d hosts\n", revision, living(states))
 				return nil
 			}
 		}
@@ -64,6 +64,17 @@
 	}
 }
 
+// living counts the hosts that are not known to be dead.
+func living(states []hostState) int {
+	n := 0
+	for _, s := range states {
+		if s.State != domain.MemberDead {
+			n++
+		}
+	}
+	return n
+}
+
 // behindOf returns the hosts that do not have the revision and are not known to
 // be dead.
 func behindOf(states []hostState, revision domain.Revision) []hostState {
