Give script tests loopback addresses of their own

Cause: in 1 of 8 runs side by side with other tests, a connection had been given the port that a script had found free. Change: each test process takes a loopback IP number by its process id, and ports below those that the system gives to connections.

--- a/cmd/greengagespoke/cert_test.go
+++ b/cmd/greengagespoke/cert_test.go
@@ -18,8 +18,8 @@
 // certLife is how long a script's certificate is valid.
 const certLife = time.Hour
 
-// makeCert writes a self-signed certificate for 127.0.0.1, which is its own
-// authority, and its key.
+// makeCert writes a self-signed certificate for the scripts' addresses, which is
+// its own authority, and its key.
 func makeCert(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 {
 		ts.Fatalf("usage: make-cert CERT KEY")
@@ -31,7 +31,7 @@
 		Subject:               pkix.Name{CommonName: "script"},
 		NotBefore:             time.Now().Add(-certLife),
 		NotAfter:              time.Now().Add(certLife),
-		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses:           []net.IP{loopback()},
 		IsCA:                  true,
 		BasicConstraintsValid: true,
 		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
--- a/cmd/greengagespoke/script_test.go
+++ b/cmd/greengagespoke/script_test.go
@@ -11,6 +11,8 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -26,8 +28,11 @@
 	scriptLimit = time.Minute
 	// waitInterval is the time between two looks at a condition.
 	waitInterval = 10 * time.Millisecond
-	// scriptPorts is the number of free ports that a script gets as $ADDR1 and on.
-	scriptPorts = 12
+	// scriptPorts is the number of free addresses that a script gets as $ADDR1 and
+	// on, with ports between firstPort and lastPort.
+	scriptPorts = 8
+	firstPort   = 20000
+	lastPort    = 32000
 )
 
 func TestMain(m *testing.M) {
@@ -39,7 +44,7 @@
 //
 //	fails CODE PROGRAM ARG... runs a program that must end with the exit code
 //	expand FILE...            replaces $NAME by environment variables in files
-//	make-cert CERT KEY        writes a self-signed certificate for 127.0.0.1
+//	make-cert CERT KEY        writes a certificate for the addresses
 //	replace FROM TO OLD NEW   copies a file with the first OLD replaced by NEW
 //	terminate TEXT            sends SIGTERM to the background program with TEXT
 //	                          in its arguments
@@ -62,25 +67,50 @@
 
 // setup gives each script its own free loopback addresses.
 func setup(env *testscript.Env) error {
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
 	for i := range scriptPorts {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := freeAddress()
 		if err != nil {
 			return err
 		}
-		listeners = append(listeners, l)
-		env.Setenv(fmt.Sprintf("ADDR%d", i+1), l.Addr().String())
+		env.Setenv(fmt.Sprintf("ADDR%d", i+1), address)
 	}
 	// Under the race detector a process sleeps for a second at its end by default.
 	env.Setenv("GORACE", "atexit_sleep_ms=0")
 	return nil
 }
 
+// nextPort is the next port that freeAddress tries. Ports of one process are
+// given out once, and lie below those that the system gives to connections.
+var nextPort atomic.Int32
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() (string, error) {
+	var last error
+	for port := firstPort + int(nextPort.Add(1)); port < lastPort; port = firstPort + int(nextPort.Add(1)) {
+		address := net.JoinHostPort(loopback().String(), strconv.Itoa(port))
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+		last = err
+	}
+	return "", fmt.Errorf("no free port: %w", last)
+}
+
+// loopback returns a loopback IP number of this process, so that test processes
+// that run side by side do not take each other's ports. Where the system has
+// only one loopback IP number, it is that.
+var loopback = sync.OnceValue(func() net.IP {
+	pid := os.Getpid()
+	ip := net.IPv4(127, byte(1+pid>>16%100), byte(pid>>8), byte(1+pid%250))
+	l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
+	if err != nil {
+		return net.IPv4(127, 0, 0, 1)
+	}
+	_ = l.Close()
+	return ip
+})
+
 func fails(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: fails CODE PROGRAM ARG...")
