Keep groups on a leaving host where no other host is alive

Change: leaving members keep groups where no member is alive, and a handover gives up only groups that another host keeps. The handover test now has another host that is alive; a new test has none, and wants the waiting request to get its place.

--- a/groups/groups.go
+++ b/groups/groups.go
@@ -95,21 +95,27 @@
 
 // Keeper returns the host that keeps a group, by rendezvous hashing (Thaler and
 // Ravishankar, 1998) over the alive members in the group's availability zones,
-// or over all alive members where those zones have none. It returns false where
-// no member is alive.
+// or over all alive members where those zones have none. Where no member is
+// alive, leaving members keep the groups until their own requests have ended. It
+// returns false where there is neither.
 func Keeper(group Group, members []domain.Member) (domain.HostID, bool) {
-	if host, ok := highest(group, members, true); ok {
-		return host, true
+	for _, state := range []domain.MemberState{domain.MemberAlive, domain.MemberLeaving} {
+		if host, ok := highest(group, members, state, true); ok {
+			return host, true
+		}
+		if host, ok := highest(group, members, state, false); ok {
+			return host, true
+		}
 	}
-	return highest(group, members, false)
+	return "", false
 }
 
-func highest(group Group, members []domain.Member, sameZones bool) (domain.HostID, bool) {
+func highest(group Group, members []domain.Member, state domain.MemberState, sameZones bool) (domain.HostID, bool) {
 	var best domain.HostID
 	var bestScore uint64
 	found := false
 	for _, m := range members {
-		if m.State != domain.MemberAlive {
+		if m.State != state {
 			continue
 		}
 		if sameZones && !containsZone(group.Zones, m.Zone) {
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -67,13 +67,11 @@
 	}
 }
 
-// Handover stops granting, so that gates go to the next keeper. Grants in force
-// stay valid for their holders.
+// Handover gives up the groups that another host keeps now that this one is
+// leaving, so that gates go there. Grants in force stay valid for their holders.
+// Groups that nobody else can keep stay, as requests in flight may need them.
 func (k *Keeper) Handover(context.Context) error {
-	k.stopped.Store(true)
-	for _, g := range k.held() {
-		k.drop(g)
-	}
+	k.sweep()
 	return nil
 }
 
--- a/keeper/recovery_test.go
+++ b/keeper/recovery_test.go
@@ -174,6 +174,13 @@
 	})
 }
 
+// leave marks the bench's own host as leaving and adds other members.
+func (b *bench) leave(others ...domain.Member) {
+	self := member("h1")
+	self.State = domain.MemberLeaving
+	b.members.set(append(others, self)...)
+}
+
 func TestHandoverStopsGranting(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(size{1, 1, 1, 100}, nil)
@@ -185,6 +192,7 @@
 			waiting <- err
 		}()
 		synctest.Wait()
+		b.leave(member("h2"))
 		if err := b.keeper.Handover(t.Context()); err != nil {
 			t.Fatal(err)
 		}
@@ -196,3 +204,30 @@
 		}
 	})
 }
+
+// TestLastHostGrantsUntilItsEnd checks that a leaving host keeps its groups where
+// no other host is alive, so that a planned stop of all hosts cuts off no request
+// that waits for a place.
+func TestLastHostGrantsUntilItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 1, 1, 100}, nil)
+		defer b.start(t, b.keeper)()
+		held := mustAcquire(t, b.keeper, place("a", "1", 1))
+		waiting := make(chan error)
+		go func() {
+			_, err := b.keeper.Acquire(t.Context(), testGroup, place("a", "2", 1))
+			waiting <- err
+		}()
+		synctest.Wait()
+		b.leave()
+		if err := b.keeper.Handover(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := b.keeper.Release(t.Context(), testGroup, []domain.Release{{Grant: held, Reason: domain.ReleaseDone}}); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-waiting; err != nil {
+			t.Errorf("waiting request got %v, want the place that became free", err)
+		}
+	})
+}
