--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -127,15 +127,15 @@
 	if g.mustWait(w) {
 		return fairqueue.NotReady
 	}
-	pair, ok := g.decide(w, now)
+	left, bounded := w.left(now)
+	pair, ok := g.decide(w, now, false)
+	if ok && bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
+		pair, ok = g.decide(w, now, true)
+	}
 	if !ok {
 		g.reserve(w)
 		return noRoom(w)
 	}
-	left, bounded := w.left(now)
-	if bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
-		return fairqueue.NoRoom
-	}
 	if bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
 		g.refused = append(g.refused, refused{w, refuseLate(pair.FirstToken - left)})
@@ -154,12 +154,14 @@
 	return fairqueue.NoRoom
 }
 
-// decide chooses the upstreams of a waiting request.
-func (g *group) decide(w *waiter, now time.Time) (placement.Pair, bool) {
+// decide chooses the upstreams of a waiting request, with freeOnly only such
+// whose decode place is free now.
+func (g *group) decide(w *waiter, now time.Time, freeOnly bool) (placement.Pair, bool) {
 	for i, d := range g.decode {
 		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
 	}
 	req := g.placementRequest(&w.req)
+	req.FreeOnly = freeOnly
 	if w.req.Suspect {
 		req.Avoid = g.avoidCrashed(&w.req)
 	}
--- a/keeper/promise_test.go
+++ b/keeper/promise_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -190,3 +191,25 @@
 		t.Errorf("queue of %v and link queue of %v after an empty report", s.Queue, s.LinkQueue)
 	}
 }
+
+// TestFreePlaceIsUsedWhereAPromiseIsDoubtful checks that a request with a
+// first-token target takes a free place on a less preferred upstream where a
+// promised one may be too late.
+func TestFreePlaceIsUsedWhereAPromiseIsDoubtful(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 2, 20, 200}, JustInTime{})
+		defer b.start(t, b.keeper)()
+		suspect := place("s", "1", 1)
+		suspect.Suspect = true
+		shunned := mustAcquire(t, b.keeper, suspect).Decode
+		grants := fill(t, b, 39)
+		last := slices.IndexFunc(grants, func(g domain.Grant) bool { return g.Decode != shunned })
+		_ = b.keeper.Release(t.Context(), testGroup, []domain.Release{{Grant: grants[last], Reason: domain.ReleaseCanceled}})
+		time.Sleep(3 * time.Second)
+		req := interactive(place("a", "1", 1), 550*time.Millisecond)
+		req.PromptTokens = 10_000
+		if grant := mustAcquire(t, b.keeper, req); grant.Decode != shunned || grant.DecodeIn != 0 {
+			t.Errorf("got %+v, want the free place on %s", grant, shunned)
+		}
+	})
+}
--- a/placement/filter_capacity.go
+++ b/placement/filter_capacity.go
@@ -14,7 +14,7 @@
 			continue
 		}
 		in, ok := s.Decode[i].freeIn(r.Pieces)
-		d.Decode[i].Rejected = !ok
+		d.Decode[i].Rejected = !ok || (r.FreeOnly && in > 0)
 		d.Decode[i].FreeIn = in
 	}
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -90,6 +90,8 @@
 	Keys         []domain.PieceKey
 	Avoid        []domain.UpstreamID
 	Suspect      bool
+	// FreeOnly says that the decode place must be free now.
+	FreeOnly bool
 }
 
 // Pair is the outcome of a decision.
