--- a/adapters/platformhttp/client.go
+++ b/adapters/platformhttp/client.go
@@ -55,8 +55,9 @@
 // Client reaches the platform. It implements ports.TableService, and gives
 // access to the other services with Objects and Hosts.
 type Client struct {
-	cfg  Config
-	http *http.Client
+	cfg   Config
+	http  *http.Client
+	hosts hostCache
 }
 
 // ConfigError is a wrong or missing value of the configuration.
@@ -106,6 +107,7 @@
 // answer is a whole HTTP answer.
 type answer struct {
 	status int
+	etag   string
 	body   []byte
 }
 
@@ -113,6 +115,15 @@
 // ports.ErrStoreDown if no connection was made, so that nothing was sent, and
 // ports.ErrStoreUnknown if the answer was lost.
 func (c *Client) do(ctx context.Context, method, address, contentType string, body []byte) (answer, error) {
+	header := make(http.Header)
+	if contentType != "" {
+		header.Set("Content-Type", contentType)
+	}
+	return c.doWith(ctx, method, address, header, body)
+}
+
+// doWith is do with the given request headers.
+func (c *Client) doWith(ctx context.Context, method, address string, header http.Header, body []byte) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
 	var connected atomic.Bool
@@ -121,9 +132,7 @@
 	if err != nil {
 		return answer{}, fmt.Errorf("%w: %w", ports.ErrStoreDown, err)
 	}
-	if contentType != "" {
-		req.Header.Set("Content-Type", contentType)
-	}
+	req.Header = header
 	if c.cfg.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.cfg.Token)
 	}
@@ -139,7 +148,7 @@
 	if err != nil || len(read) > maxAnswerBytes {
 		return answer{}, fmt.Errorf("%w: answer cut short: %w", ports.ErrStoreUnknown, err)
 	}
-	return answer{status: resp.StatusCode, body: read}, nil
+	return answer{status: resp.StatusCode, etag: resp.Header.Get("ETag"), body: read}, nil
 }
 
 // readError turns a lost answer to a read into ports.ErrStoreDown, as a read
--- a/adapters/platformhttp/handler.go
+++ b/adapters/platformhttp/handler.go
@@ -3,10 +3,14 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"greengagespoke/ports"
 )
 
@@ -143,7 +147,19 @@
 	for _, host := range listed {
 		groups = append(groups, encodeHost(host))
 	}
-	writeJSON(w, http.StatusOK, groups)
+	body, err := json.Marshal(groups)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
 }
 
 func encodeHost(host ports.ListedHost) targetGroup {
--- a/adapters/platformhttp/platformhttp_test.go
+++ b/adapters/platformhttp/platformhttp_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"log"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -151,3 +152,38 @@
 		t.Fatalf("error %v, want one that names tables_url", err)
 	}
 }
+
+// TestUnchangedHostListIsNotSentAgain checks that a client asks for changes only
+// and sees them.
+func TestUnchangedHostListIsNotSentAgain(t *testing.T) {
+	p := platform.New(platform.Config{})
+	p.SetHost(ports.ListedHost{Name: "engine-1", Zone: "dakar-1"})
+	var sent []int
+	handler := Handler(p)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, r)
+		sent = append(sent, recorder.Body.Len())
+		maps.Copy(w.Header(), recorder.Header())
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(recorder.Body.Bytes())
+	}))
+	defer srv.Close()
+	c, err := New(Config{TablesURL: srv.URL, ObjectsURL: srv.URL, Bucket: "b", HostsURL: srv.URL + PathHosts})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for range 2 {
+		if hosts, err := c.Hosts().Hosts(t.Context()); err != nil || len(hosts) != 1 || hosts[0].Leaving {
+			t.Fatalf("hosts %v, error %v", hosts, err)
+		}
+	}
+	p.SetLeaving("engine-1")
+	if hosts, err := c.Hosts().Hosts(t.Context()); err != nil || len(hosts) != 1 || !hosts[0].Leaving {
+		t.Fatalf("after the change: hosts %v, error %v", hosts, err)
+	}
+	if len(sent) != 3 || sent[0] == 0 || sent[1] != 0 || sent[2] == 0 {
+		t.Errorf("bodies of %v bytes were sent, want one, none and one", sent)
+	}
+}
--- a/adapters/platformhttp/services.go
+++ b/adapters/platformhttp/services.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 
 	"greengagespoke/domain"
 	"greengagespoke/ports"
@@ -118,12 +119,28 @@
 // hostClient implements ports.HostList.
 type hostClient struct{ c *Client }
 
-// Hosts implements ports.HostList.
+// hostCache is the last host list with its entity tag.
+type hostCache struct {
+	mu   sync.Mutex
+	etag string
+	list []ports.ListedHost
+}
+
+// Hosts implements ports.HostList. A list that has not changed is not sent again
+// (conditional requests, RFC 9110).
 func (h hostClient) Hosts(ctx context.Context) ([]ports.ListedHost, error) {
-	a, err := h.c.do(ctx, http.MethodGet, h.c.cfg.HostsURL, "", nil)
+	etag, list := h.c.hosts.load()
+	header := make(http.Header)
+	if etag != "" {
+		header.Set("If-None-Match", etag)
+	}
+	a, err := h.c.doWith(ctx, http.MethodGet, h.c.cfg.HostsURL, header, nil)
 	if err != nil {
 		return nil, readError(err)
 	}
+	if a.status == http.StatusNotModified && etag != "" {
+		return list, nil
+	}
 	if a.status != http.StatusOK {
 		return nil, statusError(a, false)
 	}
@@ -131,7 +148,21 @@
 	if err := json.Unmarshal(a.body, &groups); err != nil {
 		return nil, fmt.Errorf("%w: unreadable host list: %w", ports.ErrStoreDown, err)
 	}
-	return listedHosts(groups), nil
+	list = listedHosts(groups)
+	h.c.hosts.store(a.etag, list)
+	return list, nil
+}
+
+func (c *hostCache) load() (string, []ports.ListedHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.etag, c.list
+}
+
+func (c *hostCache) store(etag string, list []ports.ListedHost) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.etag, c.list = etag, list
 }
 
 // listedHosts turns each target into one host. A target without a name label is
