--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"greengagespoke/domain"
@@ -131,7 +132,11 @@
 		g.reserve(w)
 		return noRoom(w)
 	}
-	if left, bounded := w.left(now); bounded && pair.FirstToken > left {
+	left, bounded := w.left(now)
+	if bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
+		return fairqueue.NoRoom
+	}
+	if bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
 		g.refused = append(g.refused, refused{w, refuseLate(pair.FirstToken - left)})
 		return fairqueue.NotReady
@@ -173,9 +178,10 @@
 }
 
 // reserve keeps the next places of one decode upstream for a request that was
-// passed over too often, so that smaller requests cannot starve it.
+// passed over too often, so that smaller requests cannot starve it. A suspect
+// waits for other suspects, not for memory.
 func (g *group) reserve(w *waiter) {
-	if w.entry.Passed() < passedBound {
+	if w.entry.Passed() < passedBound || w.req.Suspect {
 		return
 	}
 	var best *decodeState
@@ -186,6 +192,9 @@
 		if d.reservedFor != nil || g.snap.Decode[i].Unusable || d.up.Pieces < w.req.Pieces() {
 			continue
 		}
+		if slices.Contains(w.req.Avoid, d.up.ID) {
+			continue
+		}
 		if best == nil || d.up.Pieces-d.pieces > best.up.Pieces-best.pieces {
 			best = d
 		}
--- a/keeper/listing.go
+++ b/keeper/listing.go
@@ -11,6 +11,7 @@
 
 	"greengagespoke/domain"
 	"greengagespoke/ports"
+	"greengagespoke/relay"
 )
 
 const (
@@ -74,7 +75,7 @@
 	if u.failures == failureBound {
 		g.keeper.metrics.tookOut.Add(1)
 		klog.InfoS("upstream receives no grants until it answers", "upstream", u.up.ID, "group", g.id, "err", err)
-		g.forgetCache(u.up.ID)
+		g.forgetPrefill(u.up.ID)
 	}
 }
 
@@ -154,6 +155,6 @@
 func (g *group) cancelStray(up domain.Upstream, id domain.AttemptID) {
 	g.keeper.metrics.strays.Add(1)
 	g.keeper.tasks.spawn(func(ctx context.Context) {
-		_ = g.keeper.cancelOnce(ctx, up, id)
+		_ = g.keeper.cancelOnce(ctx, relay.Attempt{ID: id, Pool: g.pool, Upstream: up})
 	})
 }
