Let the holder of an order lease stay until it leaves

Cause: a host that joined could rank above the holder, whose lease was then given back in the middle of a load; the load's turn blocked the pool until it expired.

Change: a holder stays a candidate while it holds the lease. The test starts the worst candidate first and fails without the change (tried).

--- a/orders/controller.go
+++ b/orders/controller.go
@@ -77,34 +77,41 @@
 	zone domain.Zone
 }
 
+// running is a worker and the way to stop it.
+type running struct {
+	worker *worker
+	stop   context.CancelFunc
+}
+
 // Run orders engines until the context ends. It then frees its leases and returns
 // after all its goroutines have ended.
 func (c *Controller) Run(ctx context.Context) error {
 	var workers sync.WaitGroup
 	defer workers.Wait()
-	running := make(map[scope]context.CancelFunc)
+	active := make(map[scope]running)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	for {
-		wanted := c.scopes()
-		for s, stop := range running {
+		wanted := c.scopes(active)
+		for s, r := range active {
 			if !slices.Contains(wanted, s) {
-				stop()
-				delete(running, s)
+				r.stop()
+				delete(active, s)
 			}
 		}
 		for _, s := range wanted {
-			if running[s] != nil {
+			if _, ok := active[s]; ok {
 				continue
 			}
 			workerCtx, stop := context.WithCancel(ctx)
-			running[s] = stop
-			workers.Go(func() { c.newWorker(s).run(workerCtx) })
+			w := c.newWorker(s)
+			active[s] = running{w, stop}
+			workers.Go(func() { w.run(workerCtx) })
 		}
 		select {
 		case <-ctx.Done():
-			for _, stop := range running {
-				stop()
+			for _, r := range active {
+				r.stop()
 			}
 			return nil
 		case <-ticker.C:
@@ -112,10 +119,14 @@
 	}
 }
 
-// scopes returns the scopes for which this host is a candidate. A host that is
-// leaving is none.
-func (c *Controller) scopes() []scope {
+// scopes returns the scopes for which this host is a candidate or holds the lease.
+// A holder stays one when better candidates appear, so that hosts that come and go
+// interrupt no load. A host that is leaving has none.
+func (c *Controller) scopes(active map[scope]running) []scope {
 	members := c.cfg.Membership.Members()
+	if !isAlive(members, c.cfg.Self) {
+		return nil
+	}
 	var out []scope
 	for _, pool := range c.cfg.Tables.Pools() {
 		if pool.Kind != domain.PoolModel {
@@ -123,7 +134,9 @@
 		}
 		for _, zone := range zonesOf(pool) {
 			s := scope{pool.Name, zone}
-			if slices.Contains(s.candidates(members), c.cfg.Self) {
+			r, ok := active[s]
+			holds := ok && r.worker.lease.Left() > 0
+			if holds || slices.Contains(s.candidates(members), c.cfg.Self) {
 				out = append(out, s)
 			}
 		}
@@ -131,6 +144,12 @@
 	return out
 }
 
+func isAlive(members []domain.Member, id domain.HostID) bool {
+	return slices.ContainsFunc(members, func(m domain.Member) bool {
+		return m.ID == id && m.State == domain.MemberAlive
+	})
+}
+
 func zonesOf(pool domain.Pool) []domain.Zone {
 	var zones []domain.Zone
 	for _, up := range pool.Upstreams {
--- a/orders/orders_test.go
+++ b/orders/orders_test.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -198,6 +199,43 @@
 	})
 }
 
+// TestHolderStaysUntilItLeaves starts the lease's worst candidate first.
+func TestHolderStaysUntilItLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, true)
+		all := b.members
+		ranked := scope{"p", "z-1"}.candidates(append(all[:4:4], domain.Member{ID: "h4", Zone: "z-1", State: domain.MemberAlive}))
+		worst := domain.HostID("h0")
+		for _, id := range []domain.HostID{"h0", "h2", "h4"} {
+			if !slices.Contains(ranked, id) {
+				worst = id
+			}
+		}
+		b.members = []domain.Member{{ID: worst, Zone: "z-1", State: domain.MemberAlive}}
+		b.start(worst)
+		b.await("orders confirmed", time.Minute, func() bool { return b.ordered() == 2 })
+		b.set(func() {
+			for _, id := range ranked {
+				b.members = append(b.members, domain.Member{ID: id, Zone: "z-1", State: domain.MemberAlive})
+			}
+		})
+		for _, id := range ranked {
+			b.start(id)
+		}
+		time.Sleep(resendAfter + time.Minute)
+		for _, r := range b.engines["e0"].orders() {
+			if r.order.Fence != 1 {
+				t.Fatalf("the lease changed hands: order with fence %d", r.order.Fence)
+			}
+		}
+		b.set(func() { b.members[0].State = domain.MemberLeaving })
+		b.await("the next holder orders", takeover, func() bool {
+			orders := b.engines["e0"].orders()
+			return orders[len(orders)-1].order.Fence > 1
+		})
+	})
+}
+
 func TestLeavingEngineGetsNoOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, 4, true)
