Tell hosts of an operator's edit once it is accepted

Cause: tables apply and tables edit write to the table service, and hosts learn of the edit by polling. Where the service failed right after it accepted an edit, no host knew it until the service was back.

Change: TableService has an Announce call.

Before: such an edit was in force after the outage only.

--- a/adapters/cli/change_set.go
+++ b/adapters/cli/change_set.go
@@ -15,9 +15,10 @@
 
 // changeSet makes a list of row changes, one edit for each row.
 type changeSet struct {
-	editor  *tables.Editor
-	flags   editFlags
-	streams Streams
+	editor   *tables.Editor
+	flags    editFlags
+	notifier *notifier
+	streams  Streams
 	// read is the revision at which the operator read the rows; 0 where it is
 	// not known.
 	read domain.Revision
@@ -63,13 +64,18 @@
 			Value:       c.After,
 			Editor:      s.flags.editor,
 		})
+		if err != nil && i > 0 {
+			s.notifier.report(s.streams)
+		}
 		if err != nil {
 			return revision, s.stopped(i, len(changes), id, s.explain(err))
 		}
+		s.notifier.accepted(ctx, s.editor, accepted)
 		revision = accepted.Revision
 		printChange(s.streams, c)
 		printf(s.streams.Out, "accepted as revision %d\n", revision)
 	}
+	s.notifier.report(s.streams)
 	return revision, nil
 }
 
--- a/adapters/cli/store_flags.go
+++ b/adapters/cli/store_flags.go
@@ -34,6 +34,8 @@
 // storeAccess is what the flags say about the platform.
 type storeAccess struct {
 	config platformhttp.Config
+	// settings are those of the settings file; nil where none was given.
+	settings *settings.Settings
 	// callersTLS says that hosts speak TLS to callers, as far as is known.
 	callersTLS bool
 }
@@ -51,6 +53,7 @@
 		if err != nil {
 			return a, err
 		}
+		a.settings = s
 		a.config = entry.PlatformConfig(s)
 		a.callersTLS = s.Listen.Callers.TLS != nil
 	}
--- a/adapters/cli/tables_apply.go
+++ b/adapters/cli/tables_apply.go
@@ -12,6 +12,7 @@
 type applyFlags struct {
 	store storeFlags
 	edit  editFlags
+	tell  announceFlags
 	wait  waitFlags
 	file  string
 	prune bool
@@ -26,7 +27,7 @@
 the file has a revision, a row that changed after it is a conflict. Rows that the
 file does not name stay, unless --prune is given.
 
-` + editFlagsHelp + "\n\n" + waitFlagsHelp + "\n\n" + storeFlagsHelp,
+` + editFlagsHelp + "\n\n" + announceFlagsHelp + "\n\n" + waitFlagsHelp + "\n\n" + storeFlagsHelp,
 		define: flags.define,
 		run:    flags.run,
 	}
@@ -36,6 +37,7 @@
 	sc.AddPositionalValue(&f.file, "FILE", 1, true, "YAML file with routes and pools")
 	f.edit.define(sc)
 	sc.Bool(&f.prune, "", "prune", "remove rows that the file does not name")
+	f.tell.define(sc)
 	f.wait.define(sc)
 	f.store.define(sc)
 }
@@ -60,7 +62,12 @@
 	if err != nil {
 		return err
 	}
-	change := &changeSet{editor: editor, flags: f.edit, streams: streams, read: file.Revision, locate: file.Locate}
+	told, err := f.tell.notifier(ctx, &f.store, editor, f.edit)
+	if err != nil {
+		return err
+	}
+	defer told.close()
+	change := &changeSet{editor: editor, flags: f.edit, notifier: told, streams: streams, read: file.Revision, locate: file.Locate}
 	revision, err := change.make(ctx, snapshot, changes)
 	if err != nil || f.edit.dryRun {
 		return err
--- a/adapters/cli/tables_edit.go
+++ b/adapters/cli/tables_edit.go
@@ -14,6 +14,7 @@
 type rowEditFlags struct {
 	store    storeFlags
 	edit     editFlags
+	tell     announceFlags
 	wait     waitFlags
 	table    string
 	row      string
@@ -37,7 +38,7 @@
 An item of a list is named by its number from 0 or by its id; + adds one. With
 --revision a row that changed after that revision is a conflict.
 
-` + editFlagsHelp + "\n\n" + waitFlagsHelp + "\n\n" + storeFlagsHelp,
+` + editFlagsHelp + "\n\n" + announceFlagsHelp + "\n\n" + waitFlagsHelp + "\n\n" + storeFlagsHelp,
 		define: flags.define,
 		run:    flags.run,
 	}
@@ -51,6 +52,7 @@
 	sc.Bool(&f.remove, "", "remove", "remove the row")
 	sc.Int64(&f.revision, "", "revision", "revision at which the row was read (default: now)")
 	f.edit.define(sc)
+	f.tell.define(sc)
 	f.wait.define(sc)
 	f.store.define(sc)
 }
@@ -81,7 +83,12 @@
 	if err != nil {
 		return err
 	}
-	change := &changeSet{editor: editor, flags: f.edit, streams: streams, read: domain.Revision(f.revision)}
+	told, err := f.tell.notifier(ctx, &f.store, editor, f.edit)
+	if err != nil {
+		return err
+	}
+	defer told.close()
+	change := &changeSet{editor: editor, flags: f.edit, notifier: told, streams: streams, read: domain.Revision(f.revision)}
 	revision, err := change.make(ctx, snapshot, changes)
 	if err != nil || f.edit.dryRun {
 		return err
--- a/adapters/peerrpc/clients.go
+++ b/adapters/peerrpc/clients.go
@@ -105,6 +105,12 @@
 	return snapshotFromPB(resp), fromTwirp(ctx, c.host, err)
 }
 
+// Announce implements ports.TablePeer.
+func (c tableClient) Announce(ctx context.Context, changes []domain.Change) error {
+	_, err := c.rpc.Announce(ctx, &peerpb.AnnounceRequest{Changes: mapSlice(changes, changeToPB)})
+	return fromTwirp(ctx, c.host, err)
+}
+
 // gateClient calls the gate of another host.
 type gateClient struct {
 	host domain.HostID
--- a/adapters/peerrpc/peers_test.go
+++ b/adapters/peerrpc/peers_test.go
@@ -23,6 +23,7 @@
 	gotDeadline bool
 	grant       domain.Grant
 	canceled    []string
+	announced   []domain.Change
 	unreachable
 }
 
@@ -45,6 +46,11 @@
 	return msg, f.err
 }
 
+func (f *fakeHost) Announce(_ context.Context, changes []domain.Change) error {
+	f.announced = changes
+	return f.err
+}
+
 func (f *fakeHost) Cancel(_ context.Context, pool domain.PoolName, upstream domain.UpstreamID, id domain.AttemptID) error {
 	f.canceled = []string{string(pool), string(upstream), id.Key().String()}
 	return f.err
@@ -104,6 +110,11 @@
 	if err != nil || !found {
 		t.Errorf("supersede: got %v, %v", found, err)
 	}
+	changes := []domain.Change{{Revision: 7, Table: domain.TablePools, Row: "p", EditID: "e", Editor: "awa", At: time.Unix(1, 0).UTC(), After: []byte("{}")}}
+	err = peers.TablePeer("b").Announce(ctx, changes)
+	if err != nil || !reflect.DeepEqual(host.announced, changes) {
+		t.Errorf("announce: got %+v, %v", host.announced, err)
+	}
 	err = peers.GatePeer("b").Cancel(ctx, "drafting", "decode-1", id)
 	if wanted := []string{"drafting", "decode-1", id.Key().String()}; err != nil || !reflect.DeepEqual(host.canceled, wanted) {
 		t.Errorf("cancel: got %v, %v", host.canceled, err)
--- a/adapters/peerrpc/services.go
+++ b/adapters/peerrpc/services.go
@@ -85,6 +85,11 @@
 	return snapshotToPB(snapshot), toTwirp(err)
 }
 
+func (s tableService) Announce(ctx context.Context, req *peerpb.AnnounceRequest) (*peerpb.Empty, error) {
+	err := s.tables.Announce(ctx, mapSlice(req.GetChanges(), changeFromPB))
+	return &peerpb.Empty{}, toTwirp(err)
+}
+
 // gateService serves a ports.GatePeer.
 type gateService struct{ gate ports.GatePeer }
 
--- a/adapters/peerrpc/unreachable.go
+++ b/adapters/peerrpc/unreachable.go
@@ -56,6 +56,11 @@
 	return ports.TableSnapshot{}, ports.ErrPeerUnreachable
 }
 
+// Announce implements ports.TablePeer.
+func (unreachable) Announce(context.Context, []domain.Change) error {
+	return ports.ErrPeerUnreachable
+}
+
 // Supersede implements ports.GatePeer.
 func (unreachable) Supersede(context.Context, domain.RequestKey, int) (bool, error) {
 	return false, ports.ErrPeerUnreachable
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	peerClient, err := peerHTTPClient(s)
+	peerClient, err := PeerHTTPClient(s)
 	if err != nil {
 		return nil, err
 	}
@@ -247,9 +247,9 @@
 	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}, nil
 }
 
-// peerHTTPClient returns the client for other hosts, or nil for plain
-// connections.
-func peerHTTPClient(s *settings.Settings) (*http.Client, error) {
+// PeerHTTPClient returns the client for the listeners for peers, or nil for plain
+// connections. The error is that of the file named by peers.ca.
+func PeerHTTPClient(s *settings.Settings) (*http.Client, error) {
 	if s.Peers.CA == "" {
 		return nil, nil
 	}
--- a/internal/simnet/peers.go
+++ b/internal/simnet/peers.go
@@ -196,6 +196,16 @@
 	return snapshot, err
 }
 
+// Announce implements ports.TablePeer.
+func (p *peer) Announce(ctx context.Context, changes []domain.Change) error {
+	return p.call(ctx, messageKey("announce", len(changes)), func(h Handlers) error {
+		if h.Tables == nil {
+			return ports.ErrPeerUnreachable
+		}
+		return h.Tables.Announce(ctx, changes)
+	})
+}
+
 // Supersede implements ports.GatePeer.
 func (p *peer) Supersede(ctx context.Context, key domain.RequestKey, attempt int) (found bool, err error) {
 	err = p.call(ctx, messageKey("supersede", key, attempt), func(h Handlers) (err error) {
--- a/ports/peers.go
+++ b/ports/peers.go
@@ -72,6 +72,10 @@
 	Changes(ctx context.Context, after domain.Revision, limit int) (changes []domain.Change, complete bool, err error)
 	// Snapshot returns all rows at the host's revision.
 	Snapshot(ctx context.Context) (TableSnapshot, error)
+	// Announce tells the host of accepted changes, in order and without gaps. It
+	// takes them in, or keeps them until it has those before. An error means that
+	// the host did not keep them.
+	Announce(ctx context.Context, changes []domain.Change) error
 }
 
 // TableSnapshot is all rows of both tables at one revision.
--- a/tables/counters.go
+++ b/tables/counters.go
@@ -19,6 +19,7 @@
 	defAnnouncements  = counters.Define("tables_announcements", "probes sent to announce a new revision")
 	defPeerChanges    = counters.Define("tables_served_changes", "changes served to other hosts")
 	defPeerSnapshots  = counters.Define("tables_served_snapshots", "snapshots served to other hosts")
+	defAnnounced      = counters.Define("tables_announced_changes", "changes that a program announced after it made them, before this host knew them")
 	defBootsFromPeers = counters.Define("tables_boots_from_peers", "starts with the tables of other hosts, as the table service gave none")
 )
 
@@ -29,6 +30,7 @@
 	fromStore, fromPeers                   *expvar.Int
 	pulls, pullFailures, announcements     *expvar.Int
 	peerChanges, peerSnapshots, peerBooted *expvar.Int
+	announced                              *expvar.Int
 }
 
 func newFollowerCounters(set *counters.Set) followerCounters {
@@ -45,6 +47,7 @@
 		announcements: set.Int(defAnnouncements),
 		peerChanges:   set.Int(defPeerChanges),
 		peerSnapshots: set.Int(defPeerSnapshots),
+		announced:     set.Int(defAnnounced),
 		peerBooted:    set.Int(defBootsFromPeers),
 	}
 }
--- a/tables/fakes_test.go
+++ b/tables/fakes_test.go
@@ -188,6 +188,18 @@
 	return l.target().follower.Snapshot(ctx)
 }
 
+func (l link) Announce(ctx context.Context, changes []domain.Change) error {
+	if err := l.from.deliver(ctx, l.to); err != nil {
+		return err
+	}
+	return l.target().follower.Announce(ctx, changes)
+}
+
+// operator returns an announcer of a program that is no host.
+func (fl *fleet) operator() *Announcer {
+	return NewAnnouncer(&fleetHost{id: "operator", fleet: fl}, fl.order)
+}
+
 // lowest returns the lowest revision in force on the hosts.
 func (fl *fleet) lowest() domain.Revision {
 	low := domain.Revision(1 << 62)
--- a/tables/follower.go
+++ b/tables/follower.go
@@ -61,6 +61,8 @@
 	storeDown atomic.Bool
 	// mu serializes changes of current.
 	mu sync.Mutex
+	// early holds announced changes whose predecessors are missing, by revision.
+	early map[domain.Revision]domain.Change
 
 	announcedMu sync.Mutex
 	announced   []announcement
@@ -91,6 +93,7 @@
 		cfg:        cfg,
 		reader:     reader{store: cfg.Store},
 		count:      newFollowerCounters(cfg.Counters),
+		early:      make(map[domain.Revision]domain.Change),
 		pullWanted: make(chan struct{}, 1),
 		tellWanted: make(chan struct{}, 1),
 	}
@@ -127,7 +130,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current := f.current.Load()
-	next := build(current)
+	next := f.withEarly(build(current))
 	newer := next.revision > current.revision
 	reloaded := next.revision == current.revision && next.digest != current.digest
 	if !newer && !reloaded {
