Count the listed hosts for a host's share of the table service

Cause: a host divided the table service's limits by its membership view, which reads the platform's host list seldom, and adapted its share once a second. Where a fleet grows, or right after its start, its share was too large.

Change: the share counts the entry hosts of the cached host list, where they are more than those in the view, and follows within 100 ms.

--- a/host/host.go
+++ b/host/host.go
@@ -188,8 +188,12 @@
 	return loops.Wait()
 }
 
-// knownHosts returns the number of hosts that share the store's limits.
-func (h *Host) knownHosts() int { return len(h.Membership.Members()) }
+// knownHosts returns the number of hosts that share the store's limits. The
+// platform's list shows them all at once, and the membership view also those that
+// the list lacks yet.
+func (h *Host) knownHosts() int {
+	return max(h.watch.EntryHosts(), len(h.Membership.Members()))
+}
 
 // announceRevision hands the applied revision to membership, which spreads it.
 func (h *Host) announceRevision(ctx context.Context) error {
--- a/hostwatch/hostwatch.go
+++ b/hostwatch/hostwatch.go
@@ -33,6 +33,8 @@
 type state struct {
 	hosts   []ports.ListedHost
 	leaving map[string]bool
+	// entryHosts is the number of listed entry hosts.
+	entryHosts int
 }
 
 // New returns a watch of a host list. A zero interval means DefaultInterval.
@@ -60,6 +62,16 @@
 	return s != nil && s.leaving[string(id)]
 }
 
+// EntryHosts returns the number of entry hosts in the last list, leaving ones
+// included, or 0 where there is no list yet.
+func (w *Watch) EntryHosts() int {
+	s := w.state.Load()
+	if s == nil {
+		return 0
+	}
+	return s.entryHosts
+}
+
 // Run polls until ctx is done.
 func (w *Watch) Run(ctx context.Context) error {
 	for {
@@ -81,12 +93,15 @@
 		w.count.Int(counterFailures).Add(1)
 		return err
 	}
-	leaving := make(map[string]bool)
+	next := &state{hosts: hosts, leaving: make(map[string]bool)}
 	for _, h := range hosts {
 		if h.Leaving {
-			leaving[h.Name] = true
+			next.leaving[h.Name] = true
+		}
+		if h.PeerAddress != "" {
+			next.entryHosts++
 		}
 	}
-	w.state.Store(&state{hosts: hosts, leaving: leaving})
+	w.state.Store(next)
 	return nil
 }
--- a/storeguard/guard.go
+++ b/storeguard/guard.go
@@ -29,6 +29,9 @@
 	// DefaultExpectedHosts is the least number of hosts that share the limits where
 	// the configuration has none.
 	DefaultExpectedHosts = 9
+	// resizeInterval is the least time between two adaptions to the number of
+	// hosts.
+	resizeInterval = 100 * time.Millisecond
 	// budgetWait bounds the wait for the budget and the retries after a hit rate
 	// limit.
 	budgetWait = 2 * time.Second
@@ -132,10 +135,11 @@
 	return n
 }
 
-// resize adapts the budgets to the number of hosts, at most once a second.
+// resize adapts the budgets to the number of hosts, at most once in
+// resizeInterval.
 func (g *Guard) resize() {
 	g.mu.Lock()
-	due := time.Since(g.resized) >= time.Second
+	due := time.Since(g.resized) >= resizeInterval
 	if due {
 		g.resized = time.Now()
 	}
--- a/storeguard/guard_test.go
+++ b/storeguard/guard_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -224,3 +225,33 @@
 		}
 	})
 }
+
+// TestShareFollowsTheKnownHosts checks the writes of a host that asks for more
+// than its share, from 200 ms after it learned of the other hosts.
+func TestShareFollowsTheKnownHosts(t *testing.T) {
+	const (
+		writes   = 1000
+		hosts    = 200
+		observed = 20 * time.Second
+	)
+	bubble(t, func(t *testing.T, ctx context.Context) {
+		p := platform.New(platform.Config{})
+		var known atomic.Int64
+		g := New(Config{
+			Tables: p.Tables(), Objects: p.Objects(), WritesPerSecond: writes,
+			Hosts: func() int { return int(known.Load()) },
+		})
+		for i := range 8 {
+			go every(ctx, 10*time.Millisecond, func() { _, _ = g.Tables().Commit(ctx, put(fmt.Sprint(i))) })
+		}
+		time.Sleep(100 * time.Millisecond)
+		known.Store(hosts)
+		time.Sleep(200 * time.Millisecond)
+		before := p.Writes()
+		time.Sleep(observed)
+		share := writes * headroom / hosts * observed.Seconds()
+		if got := float64(p.Writes() - before); got > share+1 || got < share/2 {
+			t.Errorf("%v writes in %v, want the share of %v", got, observed, share)
+		}
+	})
+}
