--- a/keeper/releaserate.go
+++ b/keeper/releaserate.go
@@ -8,7 +8,7 @@
 	// promiseWindow is the time in which the releases of a group must be expected
 	// to cover its open promises. A promised request waits that long on average
 	// for the last of them, and its prefill result lives twice as long.
-	promiseWindow = 600 * time.Millisecond
+	promiseWindow = 400 * time.Millisecond
 )
 
 // releaseRate measures how often places of a group become free.
