--- a/keeper/attempts_test.go
+++ b/keeper/attempts_test.go
@@ -22,6 +22,7 @@
 }
 
 type fakeGate struct {
+	ports.GatePeer
 	gates *fakeGates
 	host  domain.HostID
 }
@@ -37,7 +38,7 @@
 // gate and on its engine before the newer one receives a place.
 func TestNewerAttemptReplacesTheGrant(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(size{1, 2, 4, 100}, nil)
+		b := newBench(size{1, 2, 4, 100}, ReserveThenPrefill{})
 		gates := &fakeGates{told: make(chan domain.HostID, 1)}
 		b.keeper.cfg.GatePeers = gates
 		defer b.start(t, b.keeper)()
@@ -66,7 +67,7 @@
 // engine does not answer.
 func TestNewerAttemptIsNotHeldUpForever(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(size{1, 2, 4, 100}, nil)
+		b := newBench(size{1, 2, 4, 100}, ReserveThenPrefill{})
 		defer b.start(t, b.keeper)()
 		grant := mustAcquire(t, b.keeper, place("a", "1", 1))
 		b.engine(grant.Decode).setDown(true)
@@ -80,7 +81,7 @@
 
 func TestNewerAttemptReplacesTheWaitingOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(size{1, 1, 1, 100}, nil)
+		b := newBench(size{1, 1, 1, 100}, ReserveThenPrefill{})
 		defer b.start(t, b.keeper)()
 		held := mustAcquire(t, b.keeper, place("b", "0", 1))
 		outcome := make(chan error)
@@ -100,7 +101,7 @@
 
 func TestSuspectsNeverShareAnUpstream(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(size{3, 2, 4, 100}, nil)
+		b := newBench(size{3, 2, 4, 100}, ReserveThenPrefill{})
 		defer b.start(t, b.keeper)()
 		used := make(map[domain.UpstreamID]bool)
 		var grants []domain.Grant
@@ -130,7 +131,7 @@
 // another suspect does not keep the caller's later requests from being served.
 func TestWaitingSuspectDoesNotBlockItsCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(size{3, 2, 4, 100}, nil)
+		b := newBench(size{3, 2, 4, 100}, ReserveThenPrefill{})
 		defer b.start(t, b.keeper)()
 		for i := range 4 {
 			req := place("a", fmt.Sprint(i), 1)
@@ -144,7 +145,7 @@
 
 func TestLargeRequestIsNotStarved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBench(size{1, 1, 4, 8}, nil)
+		b := newBench(size{1, 1, 4, 8}, ReserveThenPrefill{})
 		defer b.start(t, b.keeper)()
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -167,3 +168,47 @@
 		cancel()
 	})
 }
+
+// relayingGates cancel at an engine that the keeper's host does not reach.
+type relayingGates struct {
+	canceled chan domain.UpstreamID
+}
+
+func (r relayingGates) GatePeer(domain.HostID) ports.GatePeer { return relayingGate{gates: r} }
+
+type relayingGate struct {
+	ports.GatePeer
+	gates relayingGates
+}
+
+func (r relayingGate) Cancel(_ context.Context, pool domain.PoolName, upstream domain.UpstreamID, _ domain.AttemptID) error {
+	if pool == "m" {
+		r.gates.canceled <- upstream
+	}
+	return nil
+}
+
+// TestExpiredGrantIsCanceledThroughAnotherHost checks that the memory of a gone
+// gate is freed also where the keeper does not reach the engine.
+func TestExpiredGrantIsCanceledThroughAnotherHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(size{1, 2, 4, 100}, ReserveThenPrefill{})
+		gates := relayingGates{canceled: make(chan domain.UpstreamID, 10)}
+		// The only other host is not in the group's zones, so h1 keeps the group.
+		b.members.set(member("h1"), domain.Member{ID: "h2", Zone: "lima-1", State: domain.MemberAlive})
+		k := New(Config{
+			Self: "h1", Zone: "dakar-1", Tables: b.tables, Membership: b.members, Upstreams: b.upstreams,
+			Counters: b.counters, Policy: ReserveThenPrefill{}, GatePeers: gates,
+		})
+		defer b.start(t, k)()
+		grant := mustAcquire(t, k, place("a", "1", 1))
+		b.engine(grant.Decode).setDown(true)
+		began := time.Now()
+		if got := <-gates.canceled; got != grant.Decode {
+			t.Errorf("canceled at %s through another host, want %s", got, grant.Decode)
+		}
+		if took := time.Since(began); took > grantTerm+2*sweepInterval {
+			t.Errorf("canceled after %v", took)
+		}
+	})
+}
--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"greengagespoke/domain"
@@ -90,7 +91,7 @@
 // freeing returns the releases of a full decode upstream that may be promised.
 func (g *group) freeing(d *decodeState, now time.Time) []placement.Freeing {
 	policy := g.keeper.cfg.Policy
-	if !policy.LooksAhead() || d.freeSlots() > 0 || len(d.promises) >= maxPromises {
+	if !policy.LooksAhead() || d.freeSlots() > 0 || g.promisesLeft(now) <= 0 {
 		return nil
 	}
 	g.ends = g.ends[:0]
@@ -126,12 +127,16 @@
 	if g.mustWait(w) {
 		return fairqueue.NotReady
 	}
-	pair, ok := g.decide(w)
+	pair, ok := g.decide(w, now)
 	if !ok {
 		g.reserve(w)
 		return noRoom(w)
 	}
-	if left, bounded := w.left(now); bounded && pair.FirstToken > left {
+	left, bounded := w.left(now)
+	if bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
+		return fairqueue.NoRoom
+	}
+	if bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
 		g.refused = append(g.refused, refused{w, refuseLate(pair.FirstToken - left)})
 		return fairqueue.NotReady
@@ -150,7 +155,7 @@
 }
 
 // decide chooses the upstreams of a waiting request.
-func (g *group) decide(w *waiter) (placement.Pair, bool) {
+func (g *group) decide(w *waiter, now time.Time) (placement.Pair, bool) {
 	for i, d := range g.decode {
 		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
 	}
@@ -158,7 +163,7 @@
 	if w.req.Suspect {
 		req.Avoid = g.avoidCrashed(&w.req)
 	}
-	return g.scheduler.Decide(&g.snap, req, &g.decision)
+	return g.decideApart(req, now)
 }
 
 func (g *group) placementRequest(req *domain.PlaceRequest) *placement.Request {
@@ -173,9 +178,10 @@
 }
 
 // reserve keeps the next places of one decode upstream for a request that was
-// passed over too often, so that smaller requests cannot starve it.
+// passed over too often, so that smaller requests cannot starve it. A suspect
+// waits for other suspects, not for memory.
 func (g *group) reserve(w *waiter) {
-	if w.entry.Passed() < passedBound {
+	if w.entry.Passed() < passedBound || w.req.Suspect {
 		return
 	}
 	var best *decodeState
@@ -186,6 +192,9 @@
 		if d.reservedFor != nil || g.snap.Decode[i].Unusable || d.up.Pieces < w.req.Pieces() {
 			continue
 		}
+		if slices.Contains(w.req.Avoid, d.up.ID) {
+			continue
+		}
 		if best == nil || d.up.Pieces-d.pieces > best.up.Pieces-best.pieces {
 			best = d
 		}
@@ -220,16 +229,16 @@
 		cost:     w.entry.Cost,
 		limit:    w.req.OutputTokens,
 		granted:  now,
+		placed:   now,
 		expires:  now.Add(grantTerm),
 		decoding: now.Add(pair.FirstToken),
-		avoid:    w.req.Avoid,
+		avoid:    g.avoidCrashed(&w.req),
 	}
 	d.take(gr)
 	g.countSuspect(gr, 1)
 	if pair.DecodeIn > 0 {
 		gr.due = now.Add(pair.DecodeIn)
-		d.promise(gr)
-		g.keeper.metrics.promises.Add(1)
+		g.promise(d, gr, now)
 	}
 	p.plan(now, pair, w.req.Suspect)
 	g.index.Expect(p.position, w.req.PieceKeys)
--- a/keeper/upstream.go
+++ b/keeper/upstream.go
@@ -62,16 +62,10 @@
 	return u.listed && !u.leaving && u.failures < failureBound && !now.Before(u.restUntil)
 }
 
-// grantFailed notes a grant that ended by a failure and returns whether the
-// upstream was taken out for it.
-func (u *upstreamState) grantFailed(now time.Time) bool {
-	u.failedGrants++
-	if u.failedGrants < failedGrantBound {
-		return false
-	}
+// rest takes the upstream out for a while after failed grants.
+func (u *upstreamState) rest(now time.Time) {
 	u.failedGrants = 0
 	u.restUntil = now.Add(restTime)
-	return true
 }
 
 // setStrays replaces the attempts that no grant covers.
@@ -162,8 +156,10 @@
 	upstreamState
 	// position names the upstream in the prefix index.
 	position int
-	// busyUntil is the predicted end of the granted prefill work, linkUntil that
-	// of the granted transfers, suspectUntil that of the work of suspects.
+	// busyUntil is the predicted end of the granted prefill work, suspectUntil that
+	// of the work of suspects. linkUntil is the end of the granted transfers if
+	// they ran without a break; it does not follow busyUntil, so that an error of
+	// that prediction, which load reports correct, does not stay in it.
 	busyUntil, linkUntil, suspectUntil time.Time
 	// log holds recently granted work in order of time.
 	log []prefillWork
@@ -195,9 +191,9 @@
 // plan adds the work of a granted pair to the upstream's queues.
 func (p *prefillState) plan(now time.Time, pair placement.Pair, suspect bool) {
 	p.busyUntil = latest(now, p.busyUntil).Add(pair.PrefillWork)
-	p.linkUntil = latest(p.busyUntil, p.linkUntil).Add(pair.Transfer)
+	p.linkUntil = latest(now, p.linkUntil).Add(pair.Transfer)
 	if suspect {
-		p.suspectUntil = latest(p.suspectUntil, p.linkUntil)
+		p.suspectUntil = latest(p.suspectUntil, p.busyUntil.Add(pair.Transfer))
 	}
 	p.log = append(p.log, prefillWork{at: now, time: pair.PrefillWork})
 }
--- a/routing/gate_test.go
+++ b/routing/gate_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/ports"
 	"greengagespoke/standin/engine"
 )
 
@@ -140,7 +141,10 @@
 		firstErr := make(chan error, 1)
 		go func() { firstErr <- r.gate.Complete(t.Context(), request("r1", 1), first.deliver) }()
 		time.Sleep(500 * time.Millisecond)
-		checkRefusal(t, r.gate.Complete(t.Context(), request("r1", 1), second.deliver), domain.RefusalDuplicate)
+		refusal := checkRefusal(t, r.gate.Complete(t.Context(), request("r1", 1), second.deliver), domain.RefusalDuplicate)
+		if refusal.Ran != domain.RanUnknown {
+			t.Errorf("duplicate of a running request says ran: %s", refusal.Ran)
+		}
 		if err := r.gate.Complete(t.Context(), request("r1", 2), second.deliver); err != nil {
 			t.Fatal(err)
 		}
@@ -206,6 +210,22 @@
 	})
 }
 
+// TestRefusalOfAResendMayHaveRun checks that a resend is not told that the request
+// did not run, as an earlier send may have run elsewhere.
+func TestRefusalOfAResendMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, testTokens, engine.FrameFaults{})
+		r.quarantine.refusing = true
+		for attempt, want := range map[int]domain.Ran{1: domain.RanNo, 2: domain.RanUnknown} {
+			var a answer
+			err := r.gate.Complete(t.Context(), request("r1", attempt), a.deliver)
+			if refusal := checkRefusal(t, err, domain.RefusalQuarantined); refusal.Ran != want {
+				t.Errorf("attempt %d: ran is %s, want %s", attempt, refusal.Ran, want)
+			}
+		}
+	})
+}
+
 func TestLostGrantLeadsToANewAttempt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, 4*testTokens, engine.FrameFaults{})
@@ -237,3 +257,26 @@
 	}
 	return refusal
 }
+
+// TestCancelForAnotherHost checks that a gate cancels at an upstream of its own
+// tables for a host that does not reach it, and says so where it has no such row.
+func TestCancelForAnotherHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 10, engine.FrameFaults{})
+		id := domain.AttemptID{Caller: "firm-a", Request: "r", Attempt: 1}
+		_, err := r.engines["p1"].Prefill(t.Context(), ports.PrefillRequest{ID: id, Model: testModel, Prompt: testPrompt, MaxTokens: 10})
+		if err != nil || r.held() != 1 {
+			t.Fatalf("prefill: %v, %d held", err, r.held())
+		}
+		for _, wrong := range [][2]string{{"drafting", "p9"}, {"other", "p1"}} {
+			err := r.gate.Cancel(t.Context(), domain.PoolName(wrong[0]), domain.UpstreamID(wrong[1]), id)
+			var engineErr *ports.EngineError
+			if !errors.As(err, &engineErr) || engineErr.Kind != ports.EngineInvalid || r.held() != 1 {
+				t.Errorf("cancel at %v: %v", wrong, err)
+			}
+		}
+		if err := r.gate.Cancel(t.Context(), "drafting", "p1", id); err != nil || r.held() != 0 {
+			t.Errorf("cancel: %v, %d held", err, r.held())
+		}
+	})
+}
