Keep upstream addresses out of refusals; leave the last host's wait to its keeper

Cause: refusals of service calls showed callers the address of an upstream; the check for the last leaving host stood twice, in the gate and in groups.Keeper. Change: refusals name the pool; the gate's copy is gone.

--- a/routing/place.go
+++ b/routing/place.go
@@ -116,34 +116,17 @@
 	return group, host, nil
 }
 
-// keeperLost refuses a request that found no keeper for too long. Patient
-// requests and answers that have begun wait on, unless this host is leaving and
-// no other host is there to grant places.
+// keeperLost refuses an interactive request that found no keeper for too long.
+// Patient requests and answers that have begun wait on.
 func (f *flight) keeperLost(since time.Time) error {
-	if time.Since(since) < f.gate.timing.KeeperLoss {
-		return nil
-	}
 	waits := f.route.Class == domain.ClassPatient || f.sequence.delivered() > 0
-	if waits && !f.gate.lastHostLeaving() {
+	if waits || time.Since(since) < f.gate.timing.KeeperLoss {
 		return nil
 	}
 	return domain.Refuse(domain.RefusalNoUpstream, "no host grants places of pool "+string(f.route.Pool),
 		"retry on another address of the entry points").After(time.Second)
 }
 
-// lastHostLeaving reports whether this host is leaving and no host is alive.
-func (g *Gate) lastHostLeaving() bool {
-	if g.cfg.Membership.Self().State != domain.MemberLeaving {
-		return false
-	}
-	for _, m := range g.cfg.Membership.Members() {
-		if m.State == domain.MemberAlive {
-			return false
-		}
-	}
-	return true
-}
-
 // placeRequest describes the current attempt to the keeper.
 func (f *flight) placeRequest(began time.Time) domain.PlaceRequest {
 	self := f.gate.cfg.Membership.Self()
--- a/routing/service.go
+++ b/routing/service.go
@@ -100,7 +100,7 @@
 		}, send)
 	}
 	if err != nil {
-		return resp, serviceRefusal(err)
+		return resp, serviceRefusal(route.Pool, err)
 	}
 	return resp, nil
 }
@@ -138,7 +138,7 @@
 			return resp, nil
 		}
 		if ctx.Err() != nil || try >= maxServiceTries || !g.budget(route.Name).Take() {
-			return resp, serviceRefusal(err)
+			return resp, serviceRefusal(route.Pool, err)
 		}
 		g.count.serviceRetries.Add(1)
 		avoid = append(avoid, up.ID)
@@ -182,15 +182,16 @@
 }
 
 // serviceRefusal turns a failed call into a refusal that says truthfully
-// whether the call ran.
-func serviceRefusal(err error) error {
+// whether the call ran. The failure's own text stays inside, as it names the
+// upstream's address.
+func serviceRefusal(pool domain.PoolName, err error) error {
 	if refusal, ok := domain.AsRefusal(err); ok {
 		return refusal
 	}
 	var failed *ports.ServiceError
 	if errors.As(err, &failed) && !failed.Sent {
-		return domain.Refuse(domain.RefusalNoUpstream, failed.Message, "retry later").After(time.Second)
+		return noService(pool)
 	}
-	return domain.Refuse(domain.RefusalUpstreamFailed, err.Error(),
+	return domain.Refuse(domain.RefusalUpstreamFailed, "the answer of an upstream of pool "+string(pool)+" was lost",
 		"the call may have run; look at its effect before sending it again").WithRan(domain.RanUnknown)
 }
