Read the host list each second by default

Cause: with 5 s between reads and a list that lags by 2 s, a leaving upstream got work for up to 7 s. Change: 1 s, as in the fault tests; unchanged lists are not sent again.

--- a/adapters/settings/load.go
+++ b/adapters/settings/load.go
@@ -14,7 +14,7 @@
 	defaultEntrypointsMaxAge    = 10 * time.Second
 	defaultDrainMargin          = 2 * time.Second
 	defaultTablePoll            = 2 * time.Second
-	defaultHostListPoll         = 5 * time.Second
+	defaultHostListPoll         = time.Second
 	defaultMaxBodyBytes         = 4 << 20
 	defaultStoreWritesPerSecond = 300
 	defaultStoreReadsPerSecond  = 2000
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -135,7 +135,8 @@
 	DrainMargin domain.Duration `yaml:"drain_margin"`
 	// TablePoll is the mean time between reads of the table revision. Default: 2s.
 	TablePoll domain.Duration `yaml:"table_poll"`
-	// HostListPoll is the time between reads of the host list. Default: 5s.
+	// HostListPoll is the mean time between reads of the host list, by which leaving
+	// upstreams are known. An unchanged list is not sent again. Default: 1s.
 	HostListPoll domain.Duration `yaml:"host_list_poll"`
 }
 
