--- a/demo/bench_test.go
+++ b/demo/bench_test.go
@@ -28,11 +28,11 @@
 }
 
 // heap returns the live heap and stacks in bytes.
-func heap() uint64 {
+func heap() int64 {
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return m.HeapAlloc + m.StackInuse
+	return int64(m.HeapAlloc + m.StackInuse)
 }
 
 func startBench(b *testing.B, hosts int) *deployment {
@@ -79,32 +79,54 @@
 	direct := newDirect(d)
 	for b.Loop() {
 		before := heap()
-		through, during := measureStreams(b, func(ctx context.Context, n int, first func()) error {
+		through := measureStreams(b, func(ctx context.Context, n int, arrived func()) error {
 			_, err := client.Complete(ctx, gateclient.Completion{Model: draftModel, Prompt: benchPrompt(n), MaxTokens: draftsMaxTokens}, func(string) error {
-				first()
+				arrived()
 				return nil
 			})
 			return err
 		})
+		// Connections of the first part end before the second one begins.
+		time.Sleep(time.Second)
 		beforeDirect := heap()
-		straight, duringDirect := measureStreams(b, direct.complete)
-		share := float64(during-before) - float64(duringDirect-beforeDirect)
+		straight := measureStreams(b, direct.complete)
+		share := float64(through.heap - before - (straight.heap - beforeDirect))
 		b.ReportMetric(share/openStreams/1e3, "gate-KB/stream")
-		b.ReportMetric(milliseconds(through.ValueAtQuantile(50)), "gate-p50-ms")
-		b.ReportMetric(milliseconds(straight.ValueAtQuantile(50)), "direct-p50-ms")
-		b.ReportMetric(milliseconds(through.ValueAtQuantile(50)-straight.ValueAtQuantile(50)), "added-p50-ms")
+		b.ReportMetric(through.p50(), "gate-p50-ms")
+		b.ReportMetric(straight.p50(), "direct-p50-ms")
+		b.ReportMetric(through.p50()-straight.p50(), "added-p50-ms")
+		b.ReportMetric(through.perFrame()-straight.perFrame(), "gate-us/frame")
 	}
 }
 
 func benchPrompt(n int) string { return fmt.Sprintf("Bench prompt %d.", n) }
 
+// streams is what was measured of open streams.
+type streams struct {
+	first  *hdrhistogram.Histogram
+	heap   int64
+	cpu    time.Duration
+	frames int
+}
+
+// p50 returns the median time to the first token in milliseconds.
+func (s *streams) p50() float64 { return milliseconds(s.first.ValueAtQuantile(50)) }
+
+// perFrame returns the processor time per frame in microseconds, of all parties
+// in this process.
+func (s *streams) perFrame() float64 {
+	return float64(s.cpu.Microseconds()) / float64(max(1, s.frames))
+}
+
 // measureStreams opens streams one after the other, so that they do not queue
-// for prefill, and returns the times to the first token and the memory in use
-// while all are open.
-func measureStreams(b *testing.B, send func(ctx context.Context, n int, first func()) error) (*hdrhistogram.Histogram, uint64) {
+// for prefill, lets all of them run for a while and ends them.
+func measureStreams(b *testing.B, send func(ctx context.Context, n int, arrived func()) error) *streams {
 	b.Helper()
-	const gap = 15 * time.Millisecond
-	times := hdrhistogram.New(histogramMin, histogramMax, histogramDigits)
+	const (
+		gap    = 15 * time.Millisecond
+		steady = 2 * time.Second
+	)
+	s := &streams{first: hdrhistogram.New(histogramMin, histogramMax, histogramDigits)}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	ctx, cancel := context.WithCancel(context.Background())
@@ -112,31 +134,49 @@
 	for n := range openStreams {
 		wg.Go(func() {
 			began := time.Now()
-			once := sync.OnceFunc(func() {
+			first := true
+			err := send(ctx, n, func() {
 				mu.Lock()
 				defer mu.Unlock()
-				_ = times.RecordValue(time.Since(began).Microseconds())
+				s.frames++
+				if first {
+					first = false
+					_ = s.first.RecordValue(time.Since(began).Microseconds())
+				}
 			})
-			if err := send(ctx, n, once); err != nil && ctx.Err() == nil {
+			if err != nil && ctx.Err() == nil {
 				b.Error(err)
 			}
 		})
 		time.Sleep(gap)
 	}
-	during := heap()
+	s.heap = heap()
+	mu.Lock()
+	s.frames = 0
+	mu.Unlock()
+	before := cpuTime(b)
+	time.Sleep(steady)
+	s.cpu = cpuTime(b) - before
+	mu.Lock()
+	frames := s.frames
+	mu.Unlock()
 	cancel()
 	wg.Wait()
-	return times, during
+	s.frames = frames
+	return s
 }
 
 // direct calls the engines of the drafts pool without a gate.
 type direct struct {
+	// holder is a live host, so that its keeper leaves the attempts alone while
+	// they are measured.
+	holder          domain.HostID
 	set             *upstreams.Set
 	prefill, decode []domain.Upstream
 }
 
 func newDirect(d *deployment) *direct {
-	c := &direct{set: upstreams.New()}
+	c := &direct{holder: d.hosts[0].id, set: upstreams.New()}
 	pool, _ := d.hosts[0].daemon.Host().Tables.Pool(draftPool)
 	for _, up := range pool.Upstreams {
 		if up.Role == domain.RolePrefill {
@@ -148,16 +188,16 @@
 	return c
 }
 
-func (c *direct) complete(ctx context.Context, n int, first func()) error {
+func (c *direct) complete(ctx context.Context, n int, arrived func()) error {
 	id := domain.AttemptID{Caller: "direct", Request: domain.RequestID(fmt.Sprint(n)), Attempt: 1}
 	prefill, decode := c.prefill[n%len(c.prefill)], c.decode[n%len(c.decode)]
-	result, err := c.set.Engine(prefill).Prefill(ctx, ports.PrefillRequest{ID: id, Model: draftModel, Prompt: benchPrompt(n), MaxTokens: draftsMaxTokens})
+	result, err := c.set.Engine(prefill).Prefill(ctx, ports.PrefillRequest{ID: id, Holder: c.holder, Model: draftModel, Prompt: benchPrompt(n), MaxTokens: draftsMaxTokens})
 	if err != nil {
 		return err
 	}
 	engine := c.set.Engine(decode)
 	defer func() { _ = engine.Cancel(context.WithoutCancel(ctx), id) }()
-	if err := engine.Import(ctx, ports.ImportRequest{ID: id, Source: prefill.ID, SourceAddress: prefill.Address, Handle: result.Handle, Pieces: 1}); err != nil {
+	if err := engine.Import(ctx, ports.ImportRequest{ID: id, Holder: c.holder, Source: prefill.ID, SourceAddress: prefill.Address, Handle: result.Handle, Pieces: 1}); err != nil {
 		return err
 	}
 	stream, err := engine.Decode(ctx, id, 0)
@@ -170,7 +210,7 @@
 		if err != nil {
 			return err
 		}
-		first()
+		arrived()
 		if frame.Last {
 			return nil
 		}
