--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -160,7 +160,6 @@
 	for i, d := range g.decode {
 		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
 	}
-	g.reachable(w.req.HolderZone, now)
 	req := g.placementRequest(&w.req)
 	req.FreeOnly = freeOnly
 	if w.req.Suspect {
@@ -234,7 +233,6 @@
 			Fingerprint:    w.req.Fingerprint,
 		},
 		route:    w.req.Route,
-		zone:     w.req.HolderZone,
 		class:    w.req.Class,
 		weight:   w.req.Weight,
 		cost:     w.entry.Cost,
--- a/keeper/grants.go
+++ b/keeper/grants.go
@@ -90,7 +90,6 @@
 // at once whether they still answer. A promise that was not kept says nothing
 // about them.
 func (g *group) judge(gr *grant, reason domain.ReleaseReason, now time.Time) {
-	g.vouchFor(gr, reason, now)
 	if reason == domain.ReleaseCrashed {
 		g.crashReported(gr, now)
 		return
--- a/keeper/group.go
+++ b/keeper/group.go
@@ -70,8 +70,6 @@
 // grant is a grant in force.
 type grant struct {
 	domain.Grant
-	// zone is the availability zone of the holder; empty where it is not known.
-	zone   domain.Zone
 	route  domain.RouteName
 	class  domain.Class
 	weight float64
--- a/keeper/upstream.go
+++ b/keeper/upstream.go
@@ -43,9 +43,6 @@
 	// restUntil is the end of the time for which it receives no grants.
 	restUntil time.Time
 	leaving   bool
-	// vouched holds when holders of each availability zone last had an answer
-	// through the upstream.
-	vouched map[domain.Zone]time.Time
 	// strays are the listed attempts that no grant covers.
 	strays      map[domain.AttemptID]stray
 	straySlots  int
@@ -150,7 +147,7 @@
 		LinkRate:   d.up.LinkRate,
 		Suspects:   d.suspects,
 		Innocents:  d.slots - d.suspects,
-		Unusable:   !d.usableFromAny(now),
+		Unusable:   !d.usable(now),
 	}
 }
 
@@ -187,7 +184,7 @@
 		LinkRate:  p.up.LinkRate,
 		LinkQueue: max(0, p.linkUntil.Sub(now)),
 		Suspect:   now.Before(p.suspectUntil),
-		Unusable:  !p.usableFromAny(now),
+		Unusable:  !p.usable(now),
 	}
 }
 
