Take a free place where a promised one is in doubt

Cause: the doubt about a promise turned a request with a first-token target away although another upstream had a free place. Change: the request then chooses among free places only.

--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -134,7 +134,9 @@
 	}
 	left, bounded := w.left(now)
 	if bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
-		return fairqueue.NoRoom
+		if pair, ok = g.decideFree(w, now); !ok {
+			return noRoom(w)
+		}
 	}
 	if bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
@@ -177,6 +179,20 @@
 	}
 }
 
+// decideFree chooses the upstreams of a waiting request among places that are
+// free now.
+func (g *group) decideFree(w *waiter, now time.Time) (placement.Pair, bool) {
+	freeing := make([][]placement.Freeing, len(g.snap.Decode))
+	for i := range g.snap.Decode {
+		freeing[i], g.snap.Decode[i].Freeing = g.snap.Decode[i].Freeing, nil
+	}
+	pair, ok := g.decide(w, now)
+	for i := range g.snap.Decode {
+		g.snap.Decode[i].Freeing = freeing[i]
+	}
+	return pair, ok
+}
+
 // reserve keeps the next places of one decode upstream for a request that was
 // passed over too often, so that smaller requests cannot starve it. A suspect
 // waits for other suspects, not for memory.
