--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -127,17 +127,24 @@
 	if g.mustWait(w) {
 		return fairqueue.NotReady
 	}
-	pair, ok := g.decide(w, now)
+	left, bounded := w.left(now)
+	pair, ok := g.decide(w, now, false)
+	if ok && bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
+		pair, ok = g.decide(w, now, true)
+	}
 	if !ok {
 		g.reserve(w)
 		return noRoom(w)
 	}
+<<<<<<< HEAD
 	left, bounded := w.left(now)
 	if bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
 		if pair, ok = g.decideFree(w, now); !ok {
 			return noRoom(w)
 		}
 	}
+=======
+>>>>>>> main
 	if bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
 		g.refused = append(g.refused, refused{w, refuseLate(pair.FirstToken - left)})
@@ -156,12 +163,14 @@
 	return fairqueue.NoRoom
 }
 
-// decide chooses the upstreams of a waiting request.
-func (g *group) decide(w *waiter, now time.Time) (placement.Pair, bool) {
+// decide chooses the upstreams of a waiting request, with freeOnly only such
+// whose decode place is free now.
+func (g *group) decide(w *waiter, now time.Time, freeOnly bool) (placement.Pair, bool) {
 	for i, d := range g.decode {
 		g.snap.Decode[i].Reserved = d.reservedFor != nil && d.reservedFor != w
 	}
 	req := g.placementRequest(&w.req)
+	req.FreeOnly = freeOnly
 	if w.req.Suspect {
 		req.Avoid = g.avoidCrashed(&w.req)
 	}
@@ -194,21 +203,18 @@
 }
 
 // reserve keeps the next places of one decode upstream for a request that was
-// passed over too often, so that smaller requests cannot starve it. A suspect
-// waits for other suspects, not for memory.
+// passed over too often, so that smaller requests cannot starve it.
 func (g *group) reserve(w *waiter) {
-	if w.entry.Passed() < passedBound || w.req.Suspect {
+	if w.entry.Passed() < passedBound {
 		return
 	}
+	avoid := g.avoidCrashed(&w.req)
 	var best *decodeState
 	for i, d := range g.decode {
 		if d.reservedFor == w {
 			return
 		}
-		if d.reservedFor != nil || g.snap.Decode[i].Unusable || d.up.Pieces < w.req.Pieces() {
-			continue
-		}
-		if slices.Contains(w.req.Avoid, d.up.ID) {
+		if d.reservedFor != nil || g.snap.Decode[i].Unusable || !mayHold(d, w, avoid) {
 			continue
 		}
 		if best == nil || d.up.Pieces-d.pieces > best.up.Pieces-best.pieces {
@@ -220,6 +226,16 @@
 	}
 }
 
+// mayHold returns whether an upstream could run a request once its memory is
+// free. A suspect waits for the end of another suspect elsewhere, as nothing else
+// may use a reserved upstream meanwhile.
+func mayHold(d *decodeState, w *waiter, avoid []domain.UpstreamID) bool {
+	if w.req.Suspect && d.suspects > 0 {
+		return false
+	}
+	return d.up.Pieces >= w.req.Pieces() && !slices.Contains(avoid, d.up.ID)
+}
+
 // grant gives a waiting request its place.
 func (g *group) grant(w *waiter, pair placement.Pair, now time.Time) {
 	d, p := g.decode[pair.Decode], g.prefill[pair.Prefill]
