--- a/keeper/dispatch.go
+++ b/keeper/dispatch.go
@@ -136,15 +136,6 @@
 		g.reserve(w)
 		return noRoom(w)
 	}
-<<<<<<< HEAD
-	left, bounded := w.left(now)
-	if bounded && pair.DecodeIn > 0 && pair.FirstToken+promiseDoubt*pair.DecodeIn > left {
-		if pair, ok = g.decideFree(w, now); !ok {
-			return noRoom(w)
-		}
-	}
-=======
->>>>>>> main
 	if bounded && pair.FirstToken > left {
 		g.keeper.metrics.late.Add(1)
 		g.refused = append(g.refused, refused{w, refuseLate(pair.FirstToken - left)})
@@ -188,20 +179,6 @@
 	}
 }
 
-// decideFree chooses the upstreams of a waiting request among places that are
-// free now.
-func (g *group) decideFree(w *waiter, now time.Time) (placement.Pair, bool) {
-	freeing := make([][]placement.Freeing, len(g.snap.Decode))
-	for i := range g.snap.Decode {
-		freeing[i], g.snap.Decode[i].Freeing = g.snap.Decode[i].Freeing, nil
-	}
-	pair, ok := g.decide(w, now)
-	for i := range g.snap.Decode {
-		g.snap.Decode[i].Freeing = freeing[i]
-	}
-	return pair, ok
-}
-
 // reserve keeps the next places of one decode upstream for a request that was
 // passed over too often, so that smaller requests cannot starve it.
 func (g *group) reserve(w *waiter) {
