--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -17,10 +18,14 @@
 	loadAfter = 5 * time.Second
 )
 
+// seedOffset walks other runs than those of CI.
+var seedOffset = flag.Uint64("seed-offset", 0, "number that is added to all seeds")
+
 // runFaults runs faults under load, one shortly after the other, and checks the
 // promises.
 func runFaults(t *testing.T, seed uint64, faults ...Fault) {
 	t.Helper()
+	seed += *seedOffset
 	cfg := Config{Hosts: 6, Prefill: 3, Decode: 6, Services: 3, Seed: seed}
 	runFleet(t, cfg, func(ctx context.Context, f *Fleet, book *Book) {
 		loadCtx, stop := context.WithCancel(ctx)
