Print the trace of events where a fault test fails

Cause: a failure named its seed and the broken promise, not what led there. Change: faults, starts, stops and problems are written down with their time.

--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -31,6 +31,9 @@
 	// Resent counts sends after a broken connection or a refusal.
 	Resent   int
 	Problems []string
+	// Events is the trace of what happened, with the time since the start.
+	Events []string
+	began  time.Time
 	// waiting are the model requests whose caller still wants the answer.
 	waiting map[domain.RequestKey]bool
 }
@@ -39,6 +42,7 @@
 func NewBook() *Book {
 	return &Book{
 		Refused: make(map[domain.RefusalKind]int),
+		began:   time.Now(),
 		waiting: make(map[domain.RequestKey]bool),
 	}
 }
@@ -58,7 +62,15 @@
 
 // Problem records a broken promise.
 func (b *Book) Problem(format string, args ...any) {
-	b.note(func() { b.Problems = append(b.Problems, fmt.Sprintf(format, args...)) })
+	text := fmt.Sprintf(format, args...)
+	b.note(func() { b.Problems = append(b.Problems, text) })
+	b.Event("PROBLEM: %s", text)
+}
+
+// Event adds a line to the trace.
+func (b *Book) Event(format string, args ...any) {
+	line := fmt.Sprintf("%8.3fs ", time.Since(b.began).Seconds()) + fmt.Sprintf(format, args...)
+	b.note(func() { b.Events = append(b.Events, line) })
 }
 
 // draft is one model request at its caller.
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -34,7 +34,11 @@
 		time.Sleep(loadBefore)
 		for i, fault := range faults {
 			rng := rand.New(rand.NewPCG(seed, uint64(i)))
-			all.Go(func() { fault.Run(ctx, f, book, rng) })
+			all.Go(func() {
+				book.Event("%s begins", fault.Name)
+				fault.Run(ctx, f, book, rng)
+				book.Event("%s is mended", fault.Name)
+			})
 			time.Sleep(faultOffset)
 		}
 		all.Wait()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,8 @@
 	// Services is the number of plain service instances.
 	Services int
 	Seed     uint64
+	// Event, if set, is told what happens.
+	Event func(format string, args ...any)
 	// LossPercent is how many in 100 messages are lost and sent again.
 	LossPercent int
 }
@@ -140,6 +142,12 @@
 	return f, f.awaitReady(ctx)
 }
 
+func (f *Fleet) event(format string, args ...any) {
+	if f.cfg.Event != nil {
+		f.cfg.Event(format, args...)
+	}
+}
+
 func zone(i int) domain.Zone { return domain.Zone(fmt.Sprintf("dakar-%d", i%zones+1)) }
 
 // list enters a host in the platform's host list.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,8 +13,10 @@
 // promises after it.
 func runFleet(t *testing.T, cfg Config, body func(ctx context.Context, f *Fleet, book *Book)) *Book {
 	t.Helper()
-	book := NewBook()
+	var book *Book
 	synctest.Test(t, func(t *testing.T) {
+		book = NewBook()
+		cfg.Event = book.Event
 		ctx, cancel := context.WithCancel(t.Context())
 		f, err := Start(ctx, cfg)
 		if err != nil {
@@ -32,6 +35,9 @@
 	for _, problem := range book.Problems {
 		t.Errorf("seed %d: %s", cfg.Seed, problem)
 	}
+	if len(book.Problems) > 0 {
+		t.Logf("trace of events:\n%s", strings.Join(book.Events, "\n"))
+	}
 	t.Logf("sent %d, answered %d, canceled %d, resent %d, refused %v", book.Sent, book.Answered, book.Canceled, book.Resent, book.Refused)
 	return book
 }
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -135,6 +135,7 @@
 	m.stopped = false
 	f.mu.Unlock()
 	f.Network.SetDead(string(m.ID), false)
+	f.event("%s starts", m.ID)
 	f.wg.Go(func() { _ = h.Run(hostCtx) })
 }
 
@@ -166,6 +167,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m.stopped = true
+	f.event("%s ends", m.ID)
 	f.Network.SetDead(string(m.ID), true)
 	m.disconnect()
 	m.cancel()
@@ -173,6 +175,7 @@
 
 // Stop makes a planned stop of a host. It returns when the host has drained.
 func (f *Fleet) Stop(ctx context.Context, m *Member) error {
+	f.event("%s leaves", m.ID)
 	f.Platform.SetLeaving(string(m.ID))
 	if err := m.Host.Leave(ctx); err != nil {
 		return err
