Wait under a context in one place, and never with a timer that is due at once

Cause: the race detector's run of the fault tests ended in a segmentation fault of the Go 1.26.8 runtime ('goroutine 0 ... synctest bubble'); a timer that is due when it is made brings it about (found apart by a test of membership). Change: package internal/pause with For, NewTimer and AfterFunc, which make no timer shorter than 1 µs.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -25,6 +25,7 @@
 
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 	"greengagespoke/storeguard"
 )
@@ -185,12 +186,8 @@
 
 // sleep waits for d or until the context ends.
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if pause.For(ctx, d) {
 		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return ctx.Err()
 }
--- a/claims/late.go
+++ b/claims/late.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 	"greengagespoke/storeguard"
 )
@@ -95,11 +96,11 @@
 // keepLoop keeps outcomes until the context ends.
 func (c *Claimer) keepLoop(ctx context.Context) {
 	c.running.Store(true)
-	pause := newBackoff()
-	pause.InitialInterval = latePause
-	pause.MaxInterval = latePause
+	interval := newBackoff()
+	interval.InitialInterval = latePause
+	interval.MaxInterval = latePause
 	for ctx.Err() == nil {
-		timer := time.NewTimer(pause.NextBackOff())
+		timer := pause.NewTimer(interval.NextBackOff())
 		select {
 		case <-ctx.Done():
 		case <-c.wake:
@@ -107,7 +108,7 @@
 		}
 		timer.Stop()
 		if !c.keepLate(ctx) {
-			_ = sleep(ctx, pause.NextBackOff())
+			_ = sleep(ctx, interval.NextBackOff())
 		}
 	}
 	c.running.Store(false)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/standin/engine"
 )
 
@@ -89,13 +90,13 @@
 
 // faults kills a decode engine and stops a host gracefully midway.
 func (d *deployment) faults(ctx context.Context, length time.Duration, progress func(string)) {
-	if !wait(ctx, length*2/5) {
+	if !pause.For(ctx, length*2/5) {
 		return
 	}
 	victim := d.decodeEngine()
 	progress("killing upstream " + string(victim.Upstream().ID))
 	victim.Kill()
-	if !wait(ctx, length/5) {
+	if !pause.For(ctx, length/5) {
 		return
 	}
 	h := d.hosts[len(d.hosts)-1]
@@ -117,22 +118,11 @@
 	return d.engines[0]
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // settle waits until no engine holds memory and returns what is left.
 func (d *deployment) settle(ctx context.Context) int {
 	ctx, stop := context.WithTimeout(ctx, settleLimit)
 	defer stop()
-	for d.held() > 0 && wait(ctx, pollPause) {
+	for d.held() > 0 && pause.For(ctx, pollPause) {
 	}
 	return d.held()
 }
--- a/demo/load.go
+++ b/demo/load.go
@@ -10,6 +10,7 @@
 
 	"greengagespoke/adapters/gateclient"
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 )
 
 const (
@@ -78,7 +79,7 @@
 // sendAll sends requests of one kind at random times.
 func (l *load) sendAll(ctx context.Context, k kind, rng *rand.Rand) {
 	for {
-		timer := time.NewTimer(time.Duration(rng.ExpFloat64() * float64(k.interval)))
+		timer := pause.NewTimer(time.Duration(rng.ExpFloat64() * float64(k.interval)))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/host/host.go
+++ b/host/host.go
@@ -16,6 +16,7 @@
 	"greengagespoke/entrypoints"
 	"greengagespoke/groups"
 	"greengagespoke/hostwatch"
+	"greengagespoke/internal/pause"
 	"greengagespoke/keeper"
 	"greengagespoke/membership"
 	"greengagespoke/orders"
@@ -225,7 +226,7 @@
 	if err := h.Keeper.Handover(ctx); err != nil {
 		return err
 	}
-	timer := time.NewTimer(h.cfg.EntryPointsMaxAge + h.cfg.DrainMargin)
+	timer := pause.NewTimer(h.cfg.EntryPointsMaxAge + h.cfg.DrainMargin)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/hostwatch/hostwatch.go
+++ b/hostwatch/hostwatch.go
@@ -10,6 +10,7 @@
 
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -76,7 +77,7 @@
 func (w *Watch) Run(ctx context.Context) error {
 	for {
 		_ = w.poll(ctx)
-		timer := time.NewTimer(w.interval*3/4 + rand.N(w.interval/2))
+		timer := pause.NewTimer(w.interval*3/4 + rand.N(w.interval/2))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 )
 
 const (
@@ -71,7 +72,7 @@
 // pauseRandomly waits for an exponentially distributed time and returns false
 // where ctx ended first.
 func pauseRandomly(ctx context.Context, rng *rand.Rand, mean time.Duration) bool {
-	timer := time.NewTimer(time.Duration(rng.ExpFloat64() * float64(mean)))
+	timer := pause.NewTimer(time.Duration(rng.ExpFloat64() * float64(mean)))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/simnet/network.go
+++ b/internal/simnet/network.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 )
 
 const (
@@ -158,10 +159,10 @@
 func (n *Network) send(ctx context.Context, from, to Node, key uint64) error {
 	dead, cut := n.state(from, to)
 	if cut {
-		sleep(ctx, cutTimeout)
+		pause.For(ctx, cutTimeout)
 		return n.fail(from, to, key)
 	}
-	if !sleep(ctx, n.delay(from, to, key)) {
+	if !pause.For(ctx, n.delay(from, to, key)) {
 		return n.fail(from, to, key)
 	}
 	if dead || n.Dead(to.Name) {
@@ -176,21 +177,3 @@
 	time.Sleep(selfDelay(key ^ xxhash.Sum64String(from.Name+"\x00"+to.Name)))
 	return errUnreachable
 }
-
-// sleep waits for d and returns false where ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/simnet/peers.go
+++ b/internal/simnet/peers.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -80,7 +81,7 @@
 // callSelf runs f on the host itself. A few microseconds keep calls of one instant
 // apart.
 func (p *peer) callSelf(ctx context.Context, key uint64, to *attached, f func(Handlers) error) error {
-	if !sleep(ctx, selfDelay(key)) {
+	if !pause.For(ctx, selfDelay(key)) {
 		return ports.ErrPeerUnreachable
 	}
 	return f(to.handlers)
--- a/internal/simnet/upstreams.go
+++ b/internal/simnet/upstreams.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -180,7 +181,7 @@
 func (s *remoteStream) broken(ctx context.Context, err error) error {
 	n := s.engine.upstreams.network
 	if ctx.Err() == nil {
-		sleep(ctx, n.delay(s.engine.node, s.engine.upstreams.self, s.key))
+		pause.For(ctx, n.delay(s.engine.node, s.engine.upstreams.self, s.key))
 	}
 	return err
 }
@@ -206,7 +207,7 @@
 // mended; a dead node breaks the connection.
 func (s *remoteStream) arrive(ctx context.Context) error {
 	n := s.engine.upstreams.network
-	if !sleep(ctx, time.Until(s.heldAt)) {
+	if !pause.For(ctx, time.Until(s.heldAt)) {
 		return ctx.Err()
 	}
 	for {
@@ -217,7 +218,7 @@
 		if !cut {
 			return nil
 		}
-		if !sleep(ctx, retransmit) {
+		if !pause.For(ctx, retransmit) {
 			return ctx.Err()
 		}
 	}
--- a/keeper/acquire.go
+++ b/keeper/acquire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -29,7 +30,7 @@
 // await waits for the outcome until the call ends or the first-token target may
 // be out of reach. It returns whether to go on waiting.
 func (g *group) await(ctx context.Context, w *waiter, end time.Time) bool {
-	timer := time.NewTimer(min(time.Until(end), g.patience(w)))
+	timer := pause.NewTimer(min(time.Until(end), g.patience(w)))
 	defer timer.Stop()
 	select {
 	case <-w.done:
--- a/membership/cluster_test.go
+++ b/membership/cluster_test.go
@@ -14,6 +14,7 @@
 	"greengagespoke/adapters/peerrpc/peerpb"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -178,7 +179,7 @@
 		<-ctx.Done()
 		return nil
 	}
-	if !sleep(ctx, testLatency) {
+	if !pause.For(ctx, testLatency) {
 		return nil
 	}
 	return h
--- a/membership/hostlist.go
+++ b/membership/hostlist.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -17,7 +18,7 @@
 	}
 	for {
 		m.readHostList(ctx)
-		if !sleep(ctx, m.hostListGap()) {
+		if !pause.For(ctx, m.hostListGap()) {
 			return
 		}
 	}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -21,7 +22,7 @@
 	m.mu.Lock()
 	offset := time.Duration(m.rand.Int64N(int64(m.cfg.Period)))
 	m.mu.Unlock()
-	if !sleep(ctx, offset) {
+	if !pause.For(ctx, offset) {
 		return nil
 	}
 	ticker := time.NewTicker(m.cfg.Period)
@@ -34,7 +35,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-m.kick:
-			if !sleep(ctx, announceGap-time.Since(announced)) {
+			if !pause.For(ctx, announceGap-time.Since(announced)) {
 				return nil
 			}
 			announced = time.Now()
@@ -57,21 +58,6 @@
 	}
 }
 
-// sleep waits and returns false where the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // round does the work of one period.
 func (m *Membership) round(ctx context.Context, tasks *sync.WaitGroup, tick int) {
 	m.expireSuspicions(time.Now())
--- a/replay/baseline.go
+++ b/replay/baseline.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -102,7 +103,7 @@
 			return refuseLate()
 		}
 		r.attempt++
-		pause(ctx, baselinePause)
+		pause.For(ctx, baselinePause)
 	}
 }
 
@@ -114,7 +115,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), memoryGrace)
 		defer cancel()
 		for _, up := range []domain.Upstream{prefill, decode} {
-			for g.upstreams.Engine(up).Cancel(ctx, id) != nil && pause(ctx, baselinePause) {
+			for g.upstreams.Engine(up).Cancel(ctx, id) != nil && pause.For(ctx, baselinePause) {
 			}
 		}
 		release()
@@ -162,7 +163,7 @@
 		next, ok := g.chooser.another(place)
 		if !ok {
 			clear(place.full)
-			pause(ctx, baselineFullPause)
+			pause.For(ctx, baselineFullPause)
 			continue
 		}
 		place.decode = next
--- a/replay/faults.go
+++ b/replay/faults.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"greengagespoke/internal/pause"
 	"greengagespoke/standin/engine"
 )
 
@@ -23,7 +24,7 @@
 func (r *run) repeat(ctx context.Context, f Fault) {
 	at := f.At.D()
 	for at < r.env.Trace.Duration.D() {
-		if !pause(ctx, time.Until(r.env.Start.Add(at+faultOffset))) {
+		if !pause.For(ctx, time.Until(r.env.Start.Add(at+faultOffset))) {
 			return
 		}
 		r.inject(ctx, f)
@@ -46,7 +47,7 @@
 		return
 	case FaultCut:
 		r.env.Network.SetCut(f.Zones[0], f.Zones[1], true)
-		pause(ctx, f.For.D())
+		pause.For(ctx, f.For.D())
 		r.env.Network.SetCut(f.Zones[0], f.Zones[1], false)
 		return
 	}
@@ -59,15 +60,15 @@
 		e.Crash()
 	case FaultKill:
 		e.Kill()
-		pause(ctx, f.For.D())
+		pause.For(ctx, f.For.D())
 		e.Restart()
 	case FaultPause:
 		e.Pause()
-		pause(ctx, f.For.D())
+		pause.For(ctx, f.For.D())
 		e.Resume()
 	case FaultSlow:
 		e.SetSlow(f.Factor)
-		pause(ctx, f.For.D())
+		pause.For(ctx, f.For.D())
 		e.SetSlow(1)
 	}
 }
--- a/replay/fixedshares.go
+++ b/replay/fixedshares.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 )
 
 // FixedShares is a baseline: the decode slots are dealt out to the gates once,
@@ -68,7 +69,7 @@
 		return nil, err
 	}
 	prefill, ok := f.reports.prefill(r.pool)
-	for !ok && pause(ctx, reportInterval) {
+	for !ok && pause.For(ctx, reportInterval) {
 		prefill, ok = f.reports.prefill(r.pool)
 	}
 	release := func() { f.give(r.pool.Name, slot) }
--- a/replay/gates.go
+++ b/replay/gates.go
@@ -12,6 +12,7 @@
 	"greengagespoke/claims"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/internal/simnet"
 	"greengagespoke/keeper"
 	"greengagespoke/membership"
@@ -103,7 +104,7 @@
 	for i, run := range loops {
 		offset := time.Duration(n*len(loops)+i) * loopOffset
 		h.loops.Go(func() {
-			if pause(ctx, offset) {
+			if pause.For(ctx, offset) {
 				_ = run(ctx)
 			}
 		})
--- a/replay/leastloaded.go
+++ b/replay/leastloaded.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -53,7 +54,7 @@
 }
 
 func (r *reports) run(ctx context.Context, offset time.Duration) {
-	if !pause(ctx, offset) {
+	if !pause.For(ctx, offset) {
 		return
 	}
 	for {
@@ -64,7 +65,7 @@
 			}
 		}
 		group.Wait()
-		if !pause(ctx, reportInterval) {
+		if !pause.For(ctx, reportInterval) {
 			return
 		}
 	}
@@ -124,7 +125,7 @@
 		if ok && found {
 			return &baselinePlace{prefill: prefill, decode: decode, release: func() {}, full: make(map[domain.UpstreamID]bool)}, nil
 		}
-		if !pause(ctx, reportInterval) {
+		if !pause.For(ctx, reportInterval) {
 			return nil, domain.Refuse(domain.RefusalCanceled, "the caller went away", "send again")
 		}
 	}
--- a/replay/oracle_test.go
+++ b/replay/oracle_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 )
 
 // oracle is an upper bound for the decisions: one scheduler for all hosts that
@@ -62,7 +63,7 @@
 }
 
 func (o *oracleScheduler) run(ctx context.Context) {
-	for pause(ctx, oracleTick) {
+	for pause.For(ctx, oracleTick) {
 		o.mu.Lock()
 		o.schedule()
 		o.mu.Unlock()
--- a/replay/run.go
+++ b/replay/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/standin/engine"
 )
 
@@ -132,7 +133,7 @@
 	r.mu.Unlock()
 	kill()
 	r.fleet.KillHost(host)
-	if pause(ctx, r.env.Trace.Links.HostListLag.D()) {
+	if pause.For(ctx, r.env.Trace.Links.HostListLag.D()) {
 		r.env.HostList.Remove(string(host))
 	}
 }
@@ -141,7 +142,7 @@
 func (r *run) sampleSlots(ctx context.Context) {
 	from := r.env.Trace.MeasureFrom.D()
 	until := r.env.Trace.Duration.D()
-	for pause(ctx, sampleInterval) {
+	for pause.For(ctx, sampleInterval) {
 		if at := time.Since(r.env.Start); at < from || at > until {
 			continue
 		}
@@ -161,15 +162,3 @@
 type slotMeter struct {
 	used, total int
 }
-
-// pause waits for d and returns false where ctx ended before.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/routing/decode.go
+++ b/routing/decode.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -66,7 +67,7 @@
 		}
 		broken = broken || kind == ports.EngineUnreachable
 		f.gate.count.resumes.Add(1)
-		if !sleep(ctx, resumePause) {
+		if !pause.For(ctx, resumePause) {
 			return ctx.Err()
 		}
 	}
--- a/routing/flight.go
+++ b/routing/flight.go
@@ -9,6 +9,7 @@
 
 	"greengagespoke/domain"
 	"greengagespoke/groups"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -62,7 +63,7 @@
 
 // run makes attempts until the answer is whole or the request must end.
 func (f *flight) run(ctx context.Context) error {
-	pause := retryPause
+	delay := retryPause
 	for {
 		err := f.attempt(ctx)
 		if err == nil {
@@ -75,10 +76,10 @@
 		}
 		f.retries.Add(1)
 		f.gate.count.retries.Add(1)
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, delay) {
 			return f.endedEarly(ctx)
 		}
-		pause = min(2*pause, maxRetryPause)
+		delay = min(2*delay, maxRetryPause)
 	}
 }
 
@@ -234,15 +235,3 @@
 	}
 	return "", false
 }
-
-// sleep waits for d and returns false where ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/routing/place.go
+++ b/routing/place.go
@@ -7,6 +7,7 @@
 
 	"greengagespoke/domain"
 	"greengagespoke/groups"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -95,7 +96,7 @@
 		if refusal := f.keeperLost(lastAnswer); refusal != nil {
 			return place{}, refusal
 		}
-		if !sleep(ctx, g.jitter(g.timing.KeeperRetry)) {
+		if !pause.For(ctx, g.jitter(g.timing.KeeperRetry)) {
 			return place{}, ctx.Err()
 		}
 	}
--- a/routing/promise.go
+++ b/routing/promise.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -25,7 +26,7 @@
 			return err
 		}
 		if err != nil {
-			if !sleep(ctx, importRetry) {
+			if !pause.For(ctx, importRetry) {
 				return f.transferEnded(ctx, *p)
 			}
 			continue
--- a/routing/release.go
+++ b/routing/release.go
@@ -8,6 +8,7 @@
 
 	"greengagespoke/domain"
 	"greengagespoke/groups"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 	"greengagespoke/relay"
 )
@@ -124,7 +125,7 @@
 		if g.cancels.Cancel(ctx, attempt) == nil {
 			return
 		}
-		if !sleep(ctx, g.jitter(cancelPause)) {
+		if !pause.For(ctx, g.jitter(cancelPause)) {
 			return
 		}
 	}
--- a/routing/transfer.go
+++ b/routing/transfer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -43,7 +44,7 @@
 		kind, _ := engineErrorKind(err)
 		switch kind {
 		case ports.EngineFull:
-			if !sleep(ctx, importRetry) {
+			if !pause.For(ctx, importRetry) {
 				return f.transferEnded(ctx, p)
 			}
 		case ports.EngineStalled:
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -135,7 +136,7 @@
 // While the engine is paused, f waits. The caller holds the lock.
 func (e *Engine) after(d time.Duration, f func()) *time.Timer {
 	life := e.life
-	return time.AfterFunc(d, func() {
+	return pause.AfterFunc(d, func() {
 		e.mu.Lock()
 		for e.paused != nil && e.life == life {
 			paused := e.paused
--- a/standin/engine/export.go
+++ b/standin/engine/export.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -67,7 +68,7 @@
 		total:      x.Total,
 		poisoned:   x.Poisoned,
 	}
-	if !sleep(ctx, transferTime(kv.bytes(), e.cfg.Upstream.LinkRate)) {
+	if !pause.For(ctx, transferTime(kv.bytes(), e.cfg.Upstream.LinkRate)) {
 		return kvCache{}, e.errorf(ports.EngineStalled, "the transfer from %s did not end in time", req.Source)
 	}
 	return kv, nil
--- a/standin/engine/fabric.go
+++ b/standin/engine/fabric.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -149,18 +148,3 @@
 func transferTime(bytes, rate int64) time.Duration {
 	return time.Duration(float64(bytes) / float64(rate) * float64(time.Second))
 }
-
-// sleep waits for d and returns false where ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/standin/engine/transfer.go
+++ b/standin/engine/transfer.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -83,7 +84,7 @@
 		return e.fetch(ctx, req)
 	}
 	stalled := e.errorf(ports.EngineStalled, "the transfer from %s made no progress in time", req.Source)
-	if !sleep(ctx, e.fabric.stalledFor(req.Source, e.cfg.Upstream.ID, stallSpread(req.Handle))) {
+	if !pause.For(ctx, e.fabric.stalledFor(req.Source, e.cfg.Upstream.ID, stallSpread(req.Handle))) {
 		return kvCache{}, stalled
 	}
 	kv, err := source.peek(req.Handle)
@@ -91,14 +92,14 @@
 		return kvCache{}, err
 	}
 	start, end := e.fabric.reserve(source.cfg.Upstream, e.cfg.Upstream, kv.bytes())
-	if !sleep(ctx, start) {
+	if !pause.For(ctx, start) {
 		return kvCache{}, stalled
 	}
 	life, err := source.pin(req.Handle)
 	if err != nil {
 		return kvCache{}, err
 	}
-	done := sleep(ctx, end-start)
+	done := pause.For(ctx, end-start)
 	lost := source.unpin(req.Handle, life, done)
 	if !done {
 		return kvCache{}, stalled
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -167,18 +168,8 @@
 // wait sleeps for d or until the context ends, and then returns an error of the
 // given kind.
 func wait(ctx context.Context, d time.Duration, kind error) error {
-	if d <= 0 {
-		if err := ctx.Err(); err != nil {
-			return fmt.Errorf("%w: %w", kind, err)
-		}
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if pause.For(ctx, d) {
 		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", kind, ctx.Err())
 	}
+	return fmt.Errorf("%w: %w", kind, ctx.Err())
 }
--- a/standin/platform/tables.go
+++ b/standin/platform/tables.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -214,7 +215,7 @@
 		return p.apply(txn), nil
 	}
 	done := make(chan ports.TxnResult, 1)
-	time.AfterFunc(half, func() { done <- p.apply(txn) })
+	pause.AfterFunc(half, func() { done <- p.apply(txn) })
 	select {
 	case result := <-done:
 		return result, nil
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -88,11 +89,11 @@
 	if err != nil {
 		return ports.ServiceResponse{}, err
 	}
-	if !sleep(ctx, s.cfg.Latency/2) || f.loseRequest {
+	if !pause.For(ctx, s.cfg.Latency/2) || f.loseRequest {
 		return ports.ServiceResponse{}, &ports.ServiceError{Sent: true, Message: "connection reset before the answer"}
 	}
 	answer := s.ledger.execute(req, s.cfg)
-	if !sleep(ctx, s.cfg.Latency/2) || f.loseAnswer || s.isDown() {
+	if !pause.For(ctx, s.cfg.Latency/2) || f.loseAnswer || s.isDown() {
 		return ports.ServiceResponse{}, &ports.ServiceError{Sent: true, Message: "connection reset before the answer"}
 	}
 	body, err := json.Marshal(answer)
@@ -159,18 +160,3 @@
 func (s *Service) Ledger() *Ledger {
 	return s.ledger
 }
-
-// sleep waits for d and returns false where ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/storeguard/budget.go
+++ b/storeguard/budget.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/time/rate"
 
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -114,7 +115,7 @@
 	b.arm()
 	b.mu.Unlock()
 
-	timer := time.NewTimer(time.Until(deadline))
+	timer := pause.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
 	case <-w.granted:
@@ -160,7 +161,7 @@
 	next := b.limiter.Reserve()
 	delay := next.Delay()
 	next.Cancel()
-	b.timer = time.AfterFunc(delay, b.dispatch)
+	b.timer = pause.AfterFunc(delay, b.dispatch)
 }
 
 // dispatch grants the places that are free.
--- a/storeguard/guard.go
+++ b/storeguard/guard.go
@@ -16,6 +16,7 @@
 	"github.com/sony/gobreaker/v2"
 
 	"greengagespoke/counters"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -195,12 +196,8 @@
 	if time.Until(deadline) < d {
 		return context.DeadlineExceeded
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if pause.For(ctx, d) {
 		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return ctx.Err()
 }
--- a/tables/editor.go
+++ b/tables/editor.go
@@ -11,6 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
 	"greengagespoke/ports"
 )
 
@@ -286,12 +287,8 @@
 
 // sleep waits for d or until the context ends.
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if pause.For(ctx, d) {
 		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return ctx.Err()
 }
