--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -74,10 +74,16 @@
 	}
 }
 
+// TestFaultsInPairs walks all pairs. Under the race detector it walks every second
+// one: after some 180 bubbles of virtual time in one process, the detector of Go
+// 1.26.8 crashes in its own stack depot. .ci/run walks all of them without it.
 func TestFaultsInPairs(t *testing.T) {
 	all := Faults()
 	for i, first := range all {
 		for j, second := range all[i:] {
+			if raceEnabled && (i+j)%2 == 1 {
+				continue
+			}
 			t.Run(first.Name+"+"+second.Name, func(t *testing.T) {
 				t.Parallel()
 				runFaults(t, uint64(1000+100*i+j), first, second)
