--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -74,9 +74,8 @@
 	}
 }
 
-// TestFaultsInPairs walks all pairs. Under the race detector it walks every second
-// one: after some 180 bubbles of virtual time in one process, the detector of Go
-// 1.26.8 crashes in its own stack depot. .ci/run walks all of them without it.
+// TestFaultsInPairs walks all pairs. Under the race detector, which makes a pair many
+// times as slow, it walks every second one; .ci/run walks all of them without it.
 func TestFaultsInPairs(t *testing.T) {
 	all := Faults()
 	for i, first := range all {
