--- a/host/host.go
+++ b/host/host.go
@@ -23,7 +23,6 @@
 	"greengagespoke/ports"
 	"greengagespoke/quarantine"
 	"greengagespoke/routing"
-	"greengagespoke/storeguard"
 	"greengagespoke/tables"
 )
 
@@ -86,97 +85,6 @@
 	refusing   atomic.Bool
 }
 
-// latePeers gives access to peers that are made after the parts that use them.
-type latePeers struct {
-	ports.Peers
-}
-
-// New returns a host. It does nothing before Run.
-func New(cfg Config) *Host {
-	h := &Host{cfg: cfg}
-	peers := new(latePeers)
-	h.watch = hostwatch.New(cfg.HostList, cfg.HostListPoll, cfg.Counters)
-	h.Quarantine = quarantine.New(quarantine.Config{Counters: cfg.Counters})
-	h.Membership = membership.New(membership.Config{
-		Self:       cfg.Self,
-		HostList:   h.watch,
-		Counters:   cfg.Counters,
-		Seed:       cfg.Seed,
-		OnRevision: func(host domain.HostID, rev domain.Revision) { h.Tables.Notice(host, rev) },
-		Strikes:    h.Quarantine,
-	})
-	guard := storeguard.New(storeguard.Config{
-		Tables:          cfg.Store,
-		Objects:         cfg.Objects,
-		WritesPerSecond: cfg.StoreWritesPerSecond,
-		ReadsPerSecond:  cfg.StoreReadsPerSecond,
-		Hosts:           h.knownHosts,
-		Counters:        cfg.Counters,
-	})
-	store := guard.Tables()
-	h.Tables = tables.NewFollower(tables.FollowerConfig{
-		Store:        store,
-		Peers:        peers,
-		Membership:   h.Membership,
-		Counters:     cfg.Counters,
-		PollInterval: cfg.TablePoll,
-	})
-	h.Keeper = keeper.New(keeper.Config{
-		Self:       cfg.Self.ID,
-		Zone:       cfg.Self.Zone,
-		Tables:     h.Tables,
-		Membership: h.Membership,
-		Upstreams:  cfg.Upstreams,
-		HostList:   h.watch,
-		Counters:   cfg.Counters,
-		Policy:     cfg.KeeperPolicy,
-		GatePeers:  peers,
-		Quarantine: h.Quarantine,
-		Scope:      cfg.Scope,
-	})
-	h.claims = claims.New(claims.Config{
-		Store:    store,
-		Objects:  guard.Objects(),
-		Host:     cfg.Self.ID,
-		Clock:    cfg.Clock,
-		Counters: cfg.Counters,
-	})
-	h.Gate = h.newGate(peers)
-	h.orders = orders.New(orders.Config{
-		Self:       cfg.Self.ID,
-		Store:      store,
-		Tables:     h.Tables,
-		Membership: h.Membership,
-		Upstreams:  cfg.Upstreams,
-		HostList:   h.watch,
-		Editor:     tables.NewEditor(tables.EditorConfig{Store: store, Clock: cfg.Clock, Follower: h.Tables}),
-		Counters:   cfg.Counters,
-	})
-	peers.Peers = cfg.MakePeers(Local{
-		Keeper:     h.Keeper,
-		Gossip:     h.Membership,
-		Tables:     h.Tables,
-		Gate:       h.Gate,
-		Membership: h.Membership,
-	})
-	h.Membership.Bind(peers.Peers)
-	return h
-}
-
-func (h *Host) newGate(peers ports.Peers) *routing.Gate {
-	return routing.New(routing.Config{
-		Tables:     h.Tables,
-		Membership: h.Membership,
-		Peers:      peers,
-		Upstreams:  h.cfg.Upstreams,
-		Quarantine: h.Quarantine,
-		Claims:     h.claims,
-		Leaving:    h.watch,
-		Counters:   h.cfg.Counters,
-		Scope:      h.cfg.Scope,
-	})
-}
-
 // Run runs the host's loops until ctx is done. A planned stop calls Leave first.
 func (h *Host) Run(ctx context.Context) error {
 	defer h.Gate.Close()
