--- a/adapters/strictyaml/decode.go
+++ b/adapters/strictyaml/decode.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"time"
 
@@ -129,7 +130,7 @@
 
 func (d *Document) scalar(node *yaml.Node, path string, out reflect.Value) *Error {
 	want, tags := scalarType(out.Kind())
-	if node.Kind != yaml.ScalarNode || !contains(tags, node.Tag) {
+	if node.Kind != yaml.ScalarNode || !slices.Contains(tags, node.Tag) {
 		return d.wrongType(node, path, want)
 	}
 	if out.Kind() == reflect.String {
@@ -207,12 +208,3 @@
 	}
 	return path + "." + key
 }
-
-func contains(tags []string, tag string) bool {
-	for _, t := range tags {
-		if t == tag {
-			return true
-		}
-	}
-	return false
-}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"time"
@@ -68,7 +69,7 @@
 	progress("starting stand-ins and entry hosts on loopback")
 	d, err := newDeployment(ctx, opts.Hosts, decodeSlots)
 	if err != nil {
-		return nil, firstOf(err, d.close())
+		return nil, cmp.Or(err, d.close())
 	}
 	t := newTally()
 	began := time.Now()
@@ -153,12 +154,3 @@
 func milliseconds(us int64) float64 {
 	return float64(us) / 1000
 }
-
-func firstOf(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -4,6 +4,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -139,7 +140,7 @@
 		err := d.host.Leave(context.WithoutCancel(ctx))
 		klog.Infof("host %s has drained", d.settings.Host.ID)
 		stopLoops()
-		return firstError(err, d.app.Stop())
+		return cmp.Or(err, d.app.Stop())
 	})
 	return all.Wait()
 }
@@ -147,15 +148,6 @@
 // Host returns the decisions of the daemon's host, for programs that embed it.
 func (d *Daemon) Host() *host.Host { return d.host }
 
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // callerServer returns the listener for callers.
 func callerServer(s *settings.Settings, h *host.Host, set *counters.Set) (*khttp.Server, error) {
 	tlsConfig, err := serverTLS(s.Listen.Callers.TLS)
--- a/groups/groups.go
+++ b/groups/groups.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -118,7 +119,7 @@
 		if m.State != state {
 			continue
 		}
-		if sameZones && !containsZone(group.Zones, m.Zone) {
+		if sameZones && !slices.Contains(group.Zones, m.Zone) {
 			continue
 		}
 		score := xxhash.Sum64String(string(group.ID) + "\x00" + string(m.ID))
@@ -128,12 +129,3 @@
 	}
 	return best, found
 }
-
-func containsZone(zones []domain.Zone, zone domain.Zone) bool {
-	for _, z := range zones {
-		if z == zone {
-			return true
-		}
-	}
-	return false
-}
--- a/routing/flight.go
+++ b/routing/flight.go
@@ -31,9 +31,11 @@
 	c           *domain.Completion
 	route       domain.Route
 	fingerprint uint64
-	deliver     DeliverFunc
-	accepted    time.Time
-	cancel      context.CancelCauseFunc
+	// pieceKeys are the keys of the prompt, worked out once.
+	pieceKeys []domain.PieceKey
+	deliver   DeliverFunc
+	accepted  time.Time
+	cancel    context.CancelCauseFunc
 	// ended is closed when the flight no longer delivers.
 	ended chan struct{}
 
--- a/routing/gate.go
+++ b/routing/gate.go
@@ -198,6 +198,7 @@
 		c:           c,
 		route:       route,
 		fingerprint: fingerprint,
+		pieceKeys:   domain.PieceKeys(c.Model, c.Prompt),
 		deliver:     deliver,
 		accepted:    time.Now(),
 		sequence:    newSequencer(c.DeliveredTokens),
--- a/routing/place.go
+++ b/routing/place.go
@@ -142,7 +142,7 @@
 		Weight:       f.weight(),
 		PromptTokens: domain.TokenCount(f.c.Prompt) + delivered,
 		OutputTokens: max(1, f.c.MaxTokens-delivered),
-		PieceKeys:    domain.PieceKeys(f.c.Model, f.c.Prompt),
+		PieceKeys:    f.pieceKeys,
 		Waited:       time.Since(f.accepted),
 		Avoid:        f.avoid,
 		Suspect:      f.gate.cfg.Quarantine.Suspect(f.fingerprint),
