--- a/adapters/cli/cli.go
+++ b/adapters/cli/cli.go
@@ -35,6 +35,7 @@
 func commands() []*command {
 	return []*command{
 		entryCommand(),
+		serveCommand(),
 		tablesCommand(),
 		entrypointsCommand(),
 		callCommand(),
--- /dev/null
+++ b/dispatch/generate.go
@@ -0,0 +1,297 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"greengagespoke/traffic"
+
+	"k8s.io/klog/v2"
+
+	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
+)
+
+const (
+	// prefillTimeout bounds the reading of a prompt: several times that of the
+	// largest prompt, behind a few others.
+	prefillTimeout = 1500 * time.Millisecond
+	// silenceLimit is how long a resumable stream may be silent before it goes on
+	// elsewhere. It is longer than the pause of a preempted request and shorter
+	// than callers wait.
+	silenceLimit = 1500 * time.Millisecond
+	// prefillsPerRequest bounds the prompts read for one place.
+	prefillsPerRequest = 2
+)
+
+// generation is a request to model engines on its way.
+type generation struct {
+	*flight
+	caller traffic.Caller
+	// started says that the caller has the head of a stream.
+	started bool
+	// lastEvent is the number of the last event that the caller has.
+	lastEvent string
+	// mayRun says that some engine may have run the request.
+	mayRun bool
+	events int
+}
+
+// generate serves a generation.
+func (g *Gate) generate(ctx context.Context, f *flight, caller traffic.Caller) {
+	n := &generation{flight: f, caller: caller}
+	for {
+		refusal := g.attempt(ctx, n)
+		if refusal == nil {
+			return
+		}
+		if ctx.Err() == nil && g.mayRepeat(n, refusal) {
+			g.counts.repeated.Add(1)
+			continue
+		}
+		if n.started {
+			g.counts.broken.Add(1)
+			klog.InfoS("stream broken off", "request", f.req.ID, "events", n.events, "reason", refusal.Kind, "message", refusal.Message)
+			caller.Abort()
+			return
+		}
+		g.refuse(f.req, caller, refusal)
+		return
+	}
+}
+
+// mayRepeat reports whether a generation that failed may be tried again.
+func (g *Gate) mayRepeat(n *generation, refusal *domain.Refusal) bool {
+	if refusal.Kind != domain.RefusalUpstreamFailed {
+		return false
+	}
+	if n.mayRun && !n.route.Resumable {
+		return false
+	}
+	if len(n.sent) >= n.route.MaxAttempts && n.mayRun {
+		return false
+	}
+	return g.cfg.Budget.Take(n.service, time.Now())
+}
+
+// attempt reserves a place, has the prompt read and relays the stream. It returns
+// nil where the caller has the whole answer or has left.
+func (g *Gate) attempt(ctx context.Context, n *generation) *domain.Refusal {
+	place, refusal := g.places.acquire(ctx, n.flight)
+	if refusal != nil {
+		return refusal
+	}
+	placed := time.Now()
+	t := g.tracks.of(place.Engine)
+	t.begin()
+	result := outcomeNone
+	defer func() {
+		t.end(result, 0, time.Now())
+		g.places.queue(n.service).freed(place.Engine.ID)
+	}()
+	prompt := g.readPrompt(ctx, n, place)
+	if ctx.Err() != nil {
+		g.dropPlace(place, prompt)
+		return n.ended(ctx)
+	}
+	read := time.Now()
+	stream, err := g.open(ctx, n, place, prompt)
+	if err != nil {
+		call := asCallError(err)
+		klog.InfoS("decode not started", "request", n.req.ID, "upstream", place.Engine.ID, "effect", call.Effect, "err", err)
+		if call.Effect != traffic.EffectUnknown {
+			g.dropPlace(place, prompt)
+		} else if ctx.Err() == nil {
+			result = outcomeBroken
+		}
+		n.mayRun = n.mayRun || call.Effect == traffic.EffectUnknown
+		if ctx.Err() != nil {
+			return n.ended(ctx)
+		}
+		return n.failed("the decode engine " + string(place.Engine.ID) + " failed")
+	}
+	n.mayRun = true
+	defer stream.Close()
+	klog.InfoS("stream started", "request", n.req.ID, "decode", place.Engine.ID, "prefill", promptEngine(prompt),
+		"waited", placed.Sub(n.req.Arrived).Round(time.Millisecond), "read", read.Sub(placed).Round(time.Millisecond),
+		"reserved", place.Tokens, "version", n.version)
+	err = g.relay(ctx, n, stream)
+	switch {
+	case err == nil:
+		result = outcomeAnswered
+		g.counts.answered.Add(1)
+		klog.InfoS("stream ended", "request", n.req.ID, "decode", place.Engine.ID, "events", n.events,
+			"took", time.Since(n.req.Arrived).Round(time.Millisecond))
+		return nil
+	case ctx.Err() != nil || errors.Is(err, errCallerGone):
+		return n.ended(ctx)
+	default:
+		result = outcomeBroken
+		klog.InfoS("stream lost", "request", n.req.ID, "decode", place.Engine.ID, "events", n.events, "err", err)
+		return n.failed("the stream of " + string(place.Engine.ID) + " broke")
+	}
+}
+
+// ended is the refusal of a request whose time is over or whose caller left.
+func (n *generation) ended(ctx context.Context) *domain.Refusal {
+	kind, message := domain.RefusalCanceled, "the caller left"
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		kind, message = domain.RefusalDeadline, "the answer was not complete in time"
+	}
+	return domain.Refuse(kind, message, "send the request again").WithRan(n.ran())
+}
+
+func (n *generation) failed(message string) *domain.Refusal {
+	return domain.Refuse(domain.RefusalUpstreamFailed, message, "send the request again").WithRan(n.ran())
+}
+
+func (n *generation) ran() domain.Ran {
+	if n.mayRun {
+		return domain.RanUnknown
+	}
+	return domain.RanNo
+}
+
+// dropPlace frees a place and a prompt that are not used.
+func (g *Gate) dropPlace(place *traffic.Reservation, prompt *traffic.Prompt) {
+	g.cfg.Upstreams.DropReservation(place)
+	if prompt != nil {
+		g.counts.vain.Add(1)
+		g.cfg.Upstreams.DropPrompt(prompt)
+	}
+}
+
+func promptEngine(p *traffic.Prompt) domain.UpstreamID {
+	if p == nil {
+		return ""
+	}
+	return p.Engine.ID
+}
+
+// readPrompt has the prompt read by a prefill engine near the place. It returns
+// nil where none does; the decode engine then reads it itself.
+func (g *Gate) readPrompt(ctx context.Context, n *generation, place *traffic.Reservation) *traffic.Prompt {
+	tried := make(map[domain.UpstreamID]bool)
+	for range prefillsPerRequest {
+		up := pick(g.candidates(n.service, time.Now(), func(up *traffic.Upstream) bool {
+			return up.Role == domain.RolePrefill && !tried[up.ID]
+		}), place.Engine.Zone)
+		if up == nil {
+			return nil
+		}
+		if len(tried) > 0 && !g.cfg.Budget.Take(n.service, time.Now()) {
+			return nil
+		}
+		tried[up.ID] = true
+		prompt, err := g.prefill(ctx, n, up)
+		if err == nil {
+			return prompt
+		}
+		klog.InfoS("prompt not read", "request", n.req.ID, "upstream", up.ID, "effect", asCallError(err).Effect, "err", err)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if asCallError(err).Effect == traffic.EffectNotSent {
+			delete(tried, up.ID)
+		}
+	}
+	return nil
+}
+
+// prefill has one engine read the prompt.
+func (g *Gate) prefill(ctx context.Context, n *generation, up *traffic.Upstream) (*traffic.Prompt, error) {
+	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
+	defer cancel()
+	t := g.tracks.of(up)
+	t.begin()
+	began := time.Now()
+	prompt, err := g.cfg.Upstreams.Prefill(ctx, up, n.req, n.options(nil, nil))
+	t.end(g.outcomeOf(ctx, &traffic.Answer{}, err), time.Since(began), time.Now())
+	return prompt, err
+}
+
+// options returns what goes with the request to an engine.
+func (n *generation) options(place *traffic.Reservation, prompt *traffic.Prompt) traffic.SendOptions {
+	return traffic.SendOptions{
+		Left: n.left(time.Now()), Resume: n.started && n.lastEvent != "", LastEvent: n.lastEvent,
+		Prompt: prompt, Reservation: place,
+	}
+}
+
+// open starts the stream on the decode engine.
+func (g *Gate) open(ctx context.Context, n *generation, place *traffic.Reservation, prompt *traffic.Prompt) (traffic.Stream, error) {
+	up := place.Engine
+	if !g.cfg.Catalog.Current(up) {
+		return nil, &traffic.CallError{Effect: traffic.EffectNotSent, Err: errors.New("the engine no longer takes work")}
+	}
+	n.sent[up.ID] = true
+	if !n.route.Resumable {
+		return g.cfg.Upstreams.Stream(ctx, up, n.req, n.options(place, prompt))
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	timer := pause.AfterFunc(silenceLimit, cancel)
+	stream, err := g.cfg.Upstreams.Stream(ctx, up, n.req, n.options(place, prompt))
+	if err != nil || !timer.Stop() {
+		cancel()
+	}
+	if err == nil {
+		return cancellingStream{stream, cancel}, nil
+	}
+	return nil, err
+}
+
+// cancellingStream ends its context when it is closed.
+type cancellingStream struct {
+	traffic.Stream
+	cancel context.CancelFunc
+}
+
+// Close implements Stream.
+func (s cancellingStream) Close() {
+	s.Stream.Close()
+	s.cancel()
+}
+
+// errCallerGone means that an event could not be delivered.
+var errCallerGone = errors.New("the caller left; nothing more is sent")
+
+// relay passes the events on until the stream ends.
+func (g *Gate) relay(ctx context.Context, n *generation, stream traffic.Stream) error {
+	for {
+		wait := n.final.Sub(time.Now())
+		if n.route.Resumable {
+			wait = min(wait, silenceLimit)
+		}
+		event, err := stream.Next(wait)
+		if errors.Is(err, io.EOF) {
+			if !n.started {
+				n.start(stream)
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if !n.started {
+			n.start(stream)
+		}
+		if err := n.caller.Event(event); err != nil {
+			g.counts.gone.Add(1)
+			return errCallerGone
+		}
+		n.events++
+		if event.ID != "" {
+			n.lastEvent = event.ID
+		}
+	}
+}
+
+func (n *generation) start(stream traffic.Stream) {
+	n.started = true
+	n.caller.Start(stream.Head())
+}
