--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"greengagespoke/traffic"
-
 )
 
 const (
@@ -16,21 +15,21 @@
 	budgetBuckets = 20
 )
 
-// BudgetConfig bounds the repeated sends to a service by all hosts together: in
-// any window, Ratio times the requests plus Extra.
-type BudgetConfig struct {
+// BudgetLimits bound the repeated sends to a service by all hosts together: in any
+// window, Ratio times the requests plus Extra.
+type BudgetLimits struct {
 	Ratio  float64
 	Extra  float64
 	Window time.Duration
-	// Hosts returns the number of hosts that share the budget.
-	Hosts func() int
 }
 
 // Budget is this host's share of the budget. It is safe for concurrent use.
 type Budget struct {
-	cfg BudgetConfig
+	// hosts returns the number of hosts that share the budget.
+	hosts func() int
 
 	mu       sync.Mutex
+	limits   BudgetLimits
 	services map[traffic.ServiceName]*sends
 }
 
@@ -41,9 +40,21 @@
 	repeats  [budgetBuckets]int
 }
 
-// NewBudget returns a budget with nothing spent.
-func NewBudget(cfg BudgetConfig) *Budget {
-	return &Budget{cfg: cfg, services: make(map[traffic.ServiceName]*sends)}
+// NewBudget returns a budget with nothing spent, which allows nothing before Set.
+// hosts returns the number of hosts that share it.
+func NewBudget(hosts func() int) *Budget {
+	return &Budget{hosts: hosts, services: make(map[traffic.ServiceName]*sends)}
+}
+
+// Set puts limits in force. What was spent in a window of another length is
+// forgotten.
+func (b *Budget) Set(limits BudgetLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if limits.Window != b.limits.Window {
+		clear(b.services)
+	}
+	b.limits = limits
 }
 
 // Request counts a caller's request to a service.
@@ -64,7 +75,7 @@
 		requests += s.requests[i]
 		repeats += s.repeats[i]
 	}
-	share := b.cfg.Ratio*float64(requests) + b.cfg.Extra/float64(max(1, b.cfg.Hosts()))
+	share := b.limits.Ratio*float64(requests) + b.limits.Extra/float64(max(1, b.hosts()))
 	if float64(repeats+1) > budgetMargin*share {
 		return false
 	}
@@ -76,7 +87,7 @@
 // the window cleared. The caller holds the lock.
 func (b *Budget) advance(service traffic.ServiceName, now time.Time) *sends {
 	s := b.services[service]
-	at := now.UnixNano() / int64(b.cfg.Window/(budgetBuckets-1))
+	at := now.UnixNano() / int64(max(b.limits.Window, time.Second)/(budgetBuckets-1))
 	if s == nil {
 		s = &sends{at: at}
 		b.services[service] = s
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -1,12 +1,12 @@
 package dispatch
 
 import (
-	"greengagespoke/traffic"
-
 	"context"
 	"errors"
 	"time"
 
+	"greengagespoke/traffic"
+
 	"k8s.io/klog/v2"
 
 	"greengagespoke/catalog"
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -136,9 +136,8 @@
 		return
 	}
 	r.changed = time.Now()
-	if old.State == domain.MemberDead || update.State == domain.MemberDead {
-		klog.InfoS("member changed state", "host", m.self.ID, "member", update.ID, "from", old.State, "to", update.State)
-	}
+	klog.InfoS("member changed state", "host", m.self.ID, "member", update.ID, "from", old.State, "to", update.State,
+		"incarnation", update.Incarnation)
 }
 
 // raiseRevision notes a member's table revision and reports whether it grew.
--- a/platformentry/addresses.go
+++ b/platformentry/addresses.go
@@ -19,11 +19,12 @@
 )
 
 // addressesFor returns the hosts that a caller of an availability zone should
-// connect to: those of its own zone where there are enough, else all.
+// connect to: those of its own zone where there are enough, else all. A host that
+// is only listed and was not heard of yet may have ended long ago.
 func addressesFor(zone domain.Zone, members []domain.Member) []string {
 	var near, all []string
 	for _, m := range members {
-		if m.State != domain.MemberAlive || m.CallerAddress == "" {
+		if m.State != domain.MemberAlive || m.CallerAddress == "" || m.Incarnation == 0 {
 			continue
 		}
 		all = append(all, m.CallerAddress)
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -48,7 +49,11 @@
 
 // Daemon is one entry host with its listeners.
 type Daemon struct {
-	settings   *settings.Settings
+	settings *settings.Settings
+	// drainLimit and answerLife are settings that may change while the host runs.
+	drainLimit atomic.Int64
+	answerLife atomic.Int64
+	budget     *dispatch.Budget
 	catalog    *catalog.Catalog
 	members    *membership.Membership
 	hosts      *registry.Hosts
@@ -72,6 +77,8 @@
 	self := domain.Member{
 		ID: s.Host, Zone: s.Zone, PeerAddress: s.Peers, CallerAddress: s.Callers, State: domain.MemberAlive,
 	}
+	d.budget = dispatch.NewBudget(d.hostCount)
+	d.adopt(s)
 	client := store.New(s.StoreAddress)
 	d.hosts = registry.NewHosts(client, self)
 	d.registry = registry.New(client, d.catalog, d.hosts)
@@ -85,9 +92,7 @@
 	d.catalog.OnApply(d.members.SetRevision)
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: set, Leaving: d.refusing.Load,
-		Budget: dispatch.NewBudget(dispatch.BudgetConfig{
-			Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow, Hosts: d.hostCount,
-		}),
+		Budget: d.budget,
 	})
 	d.app = kratos.New(
 		kratos.ID(string(s.Host)), kratos.Name(appName), kratos.Server(d.listeners(set, metricsPort)...),
@@ -132,11 +137,20 @@
 	var all errgroup.Group
 	all.Go(func() error {
 		defer stopLoops()
-		return eris.Wrap(d.app.Run(), "a listener failed; check the addresses in the settings file")
+		err := d.app.Run()
+		if d.leaving.Load() && errors.Is(err, context.DeadlineExceeded) {
+			// Connections that are still open after the drain are closed.
+			return nil
+		}
+		return eris.Wrap(err, "a listener failed; check the addresses in the settings file")
 	})
 	all.Go(func() error { return d.registry.Run(loopCtx) })
 	all.Go(func() error { return d.upstreams.Run(loopCtx) })
 	all.Go(func() error { return d.members.Run(loopCtx) })
+	all.Go(func() error {
+		d.followSettings(loopCtx)
+		return nil
+	})
 	registerCtx, cancel := context.WithCancel(loopCtx)
 	d.registered = cancel
 	all.Go(func() error {
@@ -151,7 +165,7 @@
 		}
 		d.leave(loopCtx)
 		stopLoops()
-		return d.app.Stop()
+		return d.stopListeners()
 	})
 	err := all.Wait()
 	klog.InfoS("host stopped", "host", d.settings.Host, "err", err)
@@ -171,7 +185,7 @@
 
 // addresses answers callers who ask where to connect.
 func (d *Daemon) addresses(zone domain.Zone) ([]string, time.Duration) {
-	return addressesFor(zone, d.members.Members()), min(answerMaxAge, d.settings.AnswerLife)
+	return addressesFor(zone, d.members.Members()), min(answerMaxAge, time.Duration(d.answerLife.Load()))
 }
 
 // listeners returns the host's listeners.
--- a/platformentry/stop.go
+++ b/platformentry/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -37,9 +38,19 @@
 	pause.For(ctx, acceptFor)
 	d.refusing.Store(true)
 	klog.InfoS("host takes no new work", "host", d.settings.Host, "in flight", d.inFlight.Load())
-	end := began.Add(d.settings.DrainLimit - stopSlack)
+	end := began.Add(time.Duration(d.drainLimit.Load()) - stopSlack)
 	for d.inFlight.Load() > 0 && time.Now().Before(end) {
 		pause.For(ctx, idleCheck)
 	}
 	klog.InfoS("host drained", "host", d.settings.Host, "in flight", d.inFlight.Load(), "took", time.Since(began))
 }
+
+// stopListeners closes the listeners. Connections that are still open after the
+// drain are closed with them, which is no fault.
+func (d *Daemon) stopListeners() error {
+	err := d.app.Stop()
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
+}
