Pay every further call from the retry budget, leave replaced engines alone

Reservations there succeeded, requests got 421, and the request was sent again in a loop; a round paid one unit for two arrivals.

--- /dev/null
+++ b/dispatch/fakes_test.go
@@ -0,0 +1,236 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"greengagespoke/catalog"
+	"greengagespoke/counters"
+	"greengagespoke/domain"
+	"greengagespoke/traffic"
+)
+
+const (
+	testZone    = domain.Zone("z-a")
+	testService = traffic.ServiceName("models")
+	testPlain   = traffic.ServiceName("ledger")
+	testHost    = "h.example"
+)
+
+// world is a fake of all upstreams. The functions may be replaced; each call is
+// noted in calls.
+type world struct {
+	mu    sync.Mutex
+	calls []string
+
+	call    func(up *traffic.Upstream) (*traffic.Answer, error)
+	reserve func(up *traffic.Upstream, tokens int) error
+	prefill func(up *traffic.Upstream) error
+	stream  func(up *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error)
+}
+
+func newWorld() *world {
+	return &world{
+		call:    func(*traffic.Upstream) (*traffic.Answer, error) { return &traffic.Answer{Status: 200}, nil },
+		reserve: func(*traffic.Upstream, int) error { return nil },
+		prefill: func(*traffic.Upstream) error { return nil },
+		stream: func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) {
+			return newFakeStream(3, nil), nil
+		},
+	}
+}
+
+func (w *world) note(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, fmt.Sprintf(format, args...))
+}
+
+func (w *world) count(prefix string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, c := range w.calls {
+		if len(c) >= len(prefix) && c[:len(prefix)] == prefix {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) Call(ctx context.Context, up *traffic.Upstream, _ *traffic.Request, _ time.Duration) (*traffic.Answer, error) {
+	w.note("call %s", up.ID)
+	answer, err := w.call(up)
+	if errors.Is(err, errSilent) {
+		<-ctx.Done()
+		return nil, &traffic.CallError{Effect: traffic.EffectUnknown, Err: ctx.Err()}
+	}
+	return answer, err
+}
+
+func (w *world) Reserve(_ context.Context, up *traffic.Upstream, tokens int, _ time.Duration) (*traffic.Reservation, error) {
+	w.note("reserve %s", up.ID)
+	if err := w.reserve(up, tokens); err != nil {
+		return nil, err
+	}
+	return &traffic.Reservation{Engine: up, ID: "r", Tokens: tokens}, nil
+}
+
+func (w *world) Prefill(_ context.Context, up *traffic.Upstream, _ *traffic.Request, _ traffic.SendOptions) (*traffic.Prompt, error) {
+	w.note("prefill %s", up.ID)
+	if err := w.prefill(up); err != nil {
+		return nil, err
+	}
+	return &traffic.Prompt{Engine: up, Handle: "h"}, nil
+}
+
+func (w *world) Stream(_ context.Context, up *traffic.Upstream, _ *traffic.Request, opts traffic.SendOptions) (traffic.Stream, error) {
+	w.note("stream %s after %q", up.ID, opts.LastEvent)
+	return w.stream(up, opts)
+}
+
+func (w *world) DropReservation(r *traffic.Reservation) { w.note("drop place %s", r.Engine.ID) }
+func (w *world) DropPrompt(p *traffic.Prompt)           { w.note("drop prompt %s", p.Engine.ID) }
+
+// errSilent makes a fake call wait until it is given up.
+var errSilent = errors.New("silent")
+
+var (
+	errRejected    = &traffic.CallError{Effect: traffic.EffectRejected, Err: errors.New("full")}
+	errMisdirected = &traffic.CallError{Effect: traffic.EffectRejected, Misdirected: true, Err: errors.New("misdirected")}
+	errReset       = &traffic.CallError{Effect: traffic.EffectUnknown, Err: errors.New("reset")}
+	errRefused     = &traffic.CallError{Effect: traffic.EffectNotSent, Err: errors.New("connection refused")}
+)
+
+// fakeStream gives numbered events from first to last and ends with an error, or
+// whole where that is nil.
+type fakeStream struct {
+	next, last int
+	end        error
+	closed     func()
+}
+
+func newFakeStream(events int, end error) *fakeStream {
+	return &fakeStream{next: 1, last: events, end: end}
+}
+
+func (s *fakeStream) Head() any { return nil }
+
+func (s *fakeStream) Next(time.Duration) (traffic.Event, error) {
+	if s.next > s.last {
+		if s.end == nil {
+			return traffic.Event{}, io.EOF
+		}
+		return traffic.Event{}, s.end
+	}
+	id := fmt.Sprint(s.next)
+	s.next++
+	return traffic.Event{ID: id, Raw: []byte("id: " + id + "\n\n")}, nil
+}
+
+func (s *fakeStream) Close() {
+	if s.closed != nil {
+		s.closed()
+	}
+}
+
+// fakeCaller notes what it gets.
+type fakeCaller struct {
+	answer  *traffic.Answer
+	refusal *domain.Refusal
+	started bool
+	aborted bool
+	events  []string
+	// leaveAfter makes Event fail from that number on; 0 never does.
+	leaveAfter int
+}
+
+func (c *fakeCaller) Answer(a *traffic.Answer) { c.answer = a }
+func (c *fakeCaller) Refuse(r *domain.Refusal) { c.refusal = r }
+func (c *fakeCaller) Start(any)                { c.started = true }
+func (c *fakeCaller) Abort()                   { c.aborted = true }
+func (c *fakeCaller) Event(e traffic.Event) error {
+	if c.leaveAfter > 0 && len(c.events) >= c.leaveAfter {
+		return errors.New("gone")
+	}
+	c.events = append(c.events, e.ID)
+	return nil
+}
+
+// fixture is a gate before a world.
+type fixture struct {
+	*world
+	gate    *Gate
+	catalog *catalog.Catalog
+	leaving bool
+}
+
+func route(prefix string, service traffic.ServiceName, kind traffic.RouteKind, attempts int) traffic.Route {
+	return traffic.Route{
+		Name: prefix, Host: testHost, Prefix: prefix, Kind: kind,
+		Shares:  []traffic.Share{{Service: service, Weight: 1}},
+		Timeout: 14 * time.Second, Target: time.Second, MaxPause: 300 * time.Millisecond, MaxAttempts: attempts,
+		Generation: kind == traffic.Streaming,
+	}
+}
+
+// newFixture returns a gate with two plain upstreams, two decode and two prefill
+// engines.
+func newFixture(t *testing.T, hosts int) *fixture {
+	t.Helper()
+	f := &fixture{world: newWorld(), catalog: catalog.New()}
+	resumable := route("/resume/", testService, traffic.Streaming, 2)
+	resumable.Resumable = true
+	f.catalog.Apply(&traffic.Config{
+		Version: 1,
+		Routes: []traffic.Route{
+			route("/once/", testPlain, traffic.NonIdempotent, 1),
+			route("/again/", testPlain, traffic.Idempotent, 2),
+			route("/draft/", testService, traffic.Streaming, 1),
+			resumable,
+		},
+		Services: map[traffic.ServiceName]traffic.Service{
+			testPlain:   {Name: testPlain},
+			testService: {Name: testService, Engine: &traffic.Engine{Slots: 64, MemoryTokens: 40000, ReservationLife: 2 * time.Second}},
+		},
+	}, "test")
+	for _, id := range []domain.UpstreamID{"p1", "p2"} {
+		f.add(id, testPlain, domain.RoleService)
+	}
+	for _, id := range []domain.UpstreamID{"d1", "d2"} {
+		f.add(id, testService, domain.RoleDecode)
+	}
+	for _, id := range []domain.UpstreamID{"f1", "f2"} {
+		f.add(id, testService, domain.RolePrefill)
+	}
+	budget := NewBudget(func() int { return hosts })
+	budget.Set(BudgetLimits{Ratio: 0.2, Extra: 58, Window: 10 * time.Second})
+	f.gate = NewGate(Config{
+		Zone: testZone, Catalog: f.catalog, Upstreams: f.world, Budget: budget,
+		Counters: counters.NewSet(), Leaving: func() bool { return f.leaving },
+	})
+	return f
+}
+
+func (f *fixture) add(id domain.UpstreamID, service traffic.ServiceName, role domain.Role) {
+	f.catalog.Put(&traffic.Upstream{ID: id, Service: service, Address: "10.0.0.1:1", Zone: testZone, Role: role, Slots: 6})
+}
+
+// serve plays one request to its end.
+func (f *fixture) serve(path string, caller *fakeCaller) *fakeCaller {
+	f.gate.Serve(context.Background(), newRequest(path), caller)
+	return caller
+}
+
+func newRequest(path string) *traffic.Request {
+	now := time.Now()
+	return &traffic.Request{
+		ID: "q", Host: testHost, Path: path, Arrived: now, Deadline: now.Add(14 * time.Second),
+		PromptTokens: 3000, MaxOutput: 2000, OutputHint: 800,
+	}
+}
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -61,8 +61,9 @@
 	final time.Time
 	// version is the configuration's that chose the route.
 	version domain.Revision
-	// sent holds the upstreams that got the request.
-	sent map[domain.UpstreamID]bool
+	// sent holds the upstreams that got the request, tried also those that it did
+	// not reach.
+	sent, tried map[domain.UpstreamID]bool
 }
 
 // Serve answers a request. The context ends when the caller leaves.
@@ -74,7 +75,7 @@
 	}
 	f := &flight{
 		req: req, route: route, service: chooseService(route), version: config.Version,
-		final: req.Deadline, sent: make(map[domain.UpstreamID]bool),
+		final: req.Deadline, sent: make(map[domain.UpstreamID]bool), tried: make(map[domain.UpstreamID]bool),
 	}
 	if limit := req.Arrived.Add(route.Timeout); route.Timeout > 0 && limit.Before(f.final) {
 		f.final = limit
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -37,6 +37,9 @@
 	// mayRun says that some engine may have run the request.
 	mayRun bool
 	events int
+	// prefills and sends count the calls that had the prompt read and those that
+	// asked for the stream.
+	prefills, sends int
 }
 
 // generate serves a generation.
@@ -70,10 +73,20 @@
 	if n.mayRun && !n.route.Resumable {
 		return false
 	}
-	if len(n.sent) >= n.route.MaxAttempts && n.mayRun {
-		return false
+	if n.mayRun {
+		return len(n.sent) < n.route.MaxAttempts
 	}
-	return g.cfg.Budget.Take(n.service, time.Now())
+	return n.sends <= n.route.MaxAttempts
+}
+
+// mayCall reports whether one more call of the request to the service is within
+// the retry budget. The first prompt read and the first stream are no repeats.
+func (g *Gate) mayCall(n *generation, before int) bool {
+	if before == 0 || g.cfg.Budget.Take(n.service, time.Now()) {
+		return true
+	}
+	klog.InfoS("retry budget used up", "request", n.req.ID, "service", n.service)
+	return false
 }
 
 // attempt reserves a place, has the prompt read and relays the stream. It returns
@@ -100,16 +113,19 @@
 	stream, err := g.open(ctx, n, place, prompt)
 	if err != nil {
 		call := asCallError(err)
+		result = g.openOutcome(ctx, call)
 		klog.InfoS("decode not started", "request", n.req.ID, "upstream", place.Engine.ID, "effect", call.Effect, "err", err)
 		if call.Effect != traffic.EffectUnknown {
 			g.dropPlace(place, prompt)
-		} else if ctx.Err() == nil {
-			result = outcomeBroken
 		}
 		n.mayRun = n.mayRun || call.Effect == traffic.EffectUnknown
 		if ctx.Err() != nil {
 			return n.ended(ctx)
 		}
+		if errors.Is(err, errBudget) {
+			return domain.Refuse(domain.RefusalOverloaded, err.Error(), "try again after the stated time").
+				WithRan(n.ran()).After(busyRetry)
+		}
 		return n.failed("the decode engine " + string(place.Engine.ID) + " failed")
 	}
 	n.mayRun = true
@@ -123,6 +139,7 @@
 		result = outcomeAnswered
 		g.counts.answered.Add(1)
 		klog.InfoS("stream ended", "request", n.req.ID, "decode", place.Engine.ID, "events", n.events,
+			"prompt", n.req.PromptTokens, "max output", n.req.MaxOutput, "hint", n.req.OutputHint, "reserved", place.Tokens,
 			"took", time.Since(n.req.Arrived).Round(time.Millisecond))
 		return nil
 	case ctx.Err() != nil || errors.Is(err, errCallerGone):
@@ -134,6 +151,19 @@
 	}
 }
 
+// openOutcome says what a stream that did not start tells of the engine. A
+// rejection may be due to the prompt's memory, so it tells nothing.
+func (g *Gate) openOutcome(ctx context.Context, call *traffic.CallError) outcome {
+	switch {
+	case call.Misdirected:
+		return outcomeReplaced
+	case call.Effect == traffic.EffectRejected, ctx.Err() != nil, errors.Is(call, errBudget), errors.Is(call, errLeft):
+		return outcomeNone
+	default:
+		return outcomeBroken
+	}
+}
+
 // ended is the refusal of a request whose time is over or whose caller left.
 func (n *generation) ended(ctx context.Context) *domain.Refusal {
 	kind, message := domain.RefusalCanceled, "the caller left"
@@ -181,10 +211,11 @@
 		if up == nil {
 			return nil
 		}
-		if len(tried) > 0 && !g.cfg.Budget.Take(n.service, time.Now()) {
+		if !g.mayCall(n, n.prefills) {
 			return nil
 		}
 		tried[up.ID] = true
+		n.prefills++
 		prompt, err := g.prefill(ctx, n, up)
 		if err == nil {
 			return prompt
@@ -194,7 +225,7 @@
 			return nil
 		}
 		if asCallError(err).Effect == traffic.EffectNotSent {
-			delete(tried, up.ID)
+			n.prefills--
 		}
 	}
 	return nil
@@ -220,26 +251,54 @@
 	}
 }
 
+// errLeft means that an engine began to leave after a place on it was reserved.
+var errLeft = errors.New("the engine no longer takes work; another one is chosen")
+
+// errBudget means that the retry budget allows no further call.
+var errBudget = errors.New("the retry budget is used up; wait until the upstreams fail less")
+
 // open starts the stream on the decode engine.
 func (g *Gate) open(ctx context.Context, n *generation, place *traffic.Reservation, prompt *traffic.Prompt) (traffic.Stream, error) {
 	up := place.Engine
 	if !g.cfg.Catalog.Current(up) {
-		return nil, &traffic.CallError{Effect: traffic.EffectNotSent, Err: errors.New("the engine no longer takes work")}
+		return nil, &traffic.CallError{Effect: traffic.EffectNotSent, Err: errLeft}
 	}
+	if !g.mayCall(n, n.sends) {
+		return nil, &traffic.CallError{Effect: traffic.EffectNotSent, Err: errBudget}
+	}
+	had := n.sent[up.ID]
+	n.sends++
 	n.sent[up.ID] = true
+	stream, err := g.startStream(ctx, n, place, prompt)
+	if err == nil {
+		return stream, nil
+	}
+	call := asCallError(err)
+	if call.Effect == traffic.EffectNotSent {
+		n.sends--
+	}
+	if !had && call.Missed() {
+		delete(n.sent, up.ID)
+	}
+	return nil, err
+}
+
+// startStream sends the request to the decode engine. Where the stream may go on
+// elsewhere, an engine that stays silent is given up.
+func (g *Gate) startStream(ctx context.Context, n *generation, place *traffic.Reservation, prompt *traffic.Prompt) (traffic.Stream, error) {
+	options := n.options(place, prompt)
 	if !n.route.Resumable {
-		return g.cfg.Upstreams.Stream(ctx, up, n.req, n.options(place, prompt))
+		return g.cfg.Upstreams.Stream(ctx, place.Engine, n.req, options)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	timer := pause.AfterFunc(silenceLimit, cancel)
-	stream, err := g.cfg.Upstreams.Stream(ctx, up, n.req, n.options(place, prompt))
-	if err != nil || !timer.Stop() {
+	stream, err := g.cfg.Upstreams.Stream(ctx, place.Engine, n.req, options)
+	timer.Stop()
+	if err != nil {
 		cancel()
+		return nil, err
 	}
-	if err == nil {
-		return cancellingStream{stream, cancel}, nil
-	}
-	return nil, err
+	return cancellingStream{stream, cancel}, nil
 }
 
 // cancellingStream ends its context when it is closed.
--- /dev/null
+++ b/dispatch/generate_test.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"greengagespoke/domain"
+	"greengagespoke/traffic"
+)
+
+func TestGenerationReservesThenReadsThenStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		caller := f.serve("/draft/x", &fakeCaller{})
+		if want := []string{"1", "2", "3"}; !slices.Equal(caller.events, want) || caller.aborted {
+			t.Fatalf("events %v, want %v", caller.events, want)
+		}
+		if f.count("reserve") != 1 || f.count("prefill") != 1 || f.count("stream") != 1 {
+			t.Fatalf("calls %v", f.calls)
+		}
+	})
+}
+
+// A crashed engine comes back at its address under another identifier while its
+// old entry stays registered for seconds. It reserves places for whoever asks and
+// answers 421 to requests.
+func TestEngineThatWasReplacedIsNotAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.stream = func(up *traffic.Upstream, _ traffic.SendOptions) (traffic.Stream, error) {
+			if up.ID == "d1" {
+				return nil, errMisdirected
+			}
+			return newFakeStream(3, nil), nil
+		}
+		for range 20 {
+			if caller := f.serve("/draft/x", &fakeCaller{}); !caller.started {
+				t.Fatalf("refused: %v", caller.refusal)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if got := f.count("stream d1"); got > 1 {
+			t.Fatalf("the replaced engine was asked %d times", got)
+		}
+	})
+}
+
+// All calls beyond the first prompt read and the first stream of a request come
+// out of the retry budget.
+func TestRejectedStreamsStayWithinTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 9
+		f := newFixture(t, hosts)
+		f.stream = func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) { return nil, errRejected }
+		const requests = 40
+		for range requests {
+			f.serve("/draft/x", &fakeCaller{})
+			f.serve("/resume/x", &fakeCaller{})
+		}
+		// Every first prompt read is free, every first stream is the request itself.
+		repeats := f.count("prefill") + f.count("stream") - 2*2*requests
+		if allowed := 0.2*2*requests + 58.0/hosts; float64(repeats) > allowed {
+			t.Fatalf("%d repeats, allowed %.1f", repeats, allowed)
+		}
+	})
+}
+
+func TestBrokenStreamGoesOnElsewhereOnlyWhereItMayBeResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.stream = func(_ *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error) {
+			if opts.Resume {
+				return &fakeStream{next: 3, last: 4}, nil
+			}
+			return newFakeStream(2, errReset), nil
+		}
+		resumed := f.serve("/resume/x", &fakeCaller{})
+		if want := []string{"1", "2", "3", "4"}; !slices.Equal(resumed.events, want) || resumed.aborted {
+			t.Fatalf("events %v aborted %v, want %v", resumed.events, resumed.aborted, want)
+		}
+		broken := f.serve("/draft/x", &fakeCaller{})
+		if !broken.aborted || len(broken.events) != 2 {
+			t.Fatalf("events %v aborted %v, want 2 events and a broken answer", broken.events, broken.aborted)
+		}
+	})
+}
+
+func TestGenerationThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.stream = func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) { return nil, errReset }
+		caller := f.serve("/draft/x", &fakeCaller{})
+		if caller.refusal == nil || caller.refusal.Ran != domain.RanUnknown || f.count("stream") != 1 {
+			t.Fatalf("refusal %v, calls %v", caller.refusal, f.calls)
+		}
+	})
+}
+
+func TestCallerWhoLeavesEndsTheStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		closed := 0
+		f.stream = func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) {
+			s := newFakeStream(5, nil)
+			s.closed = func() { closed++ }
+			return s, nil
+		}
+		f.serve("/resume/x", &fakeCaller{leaveAfter: 2})
+		if closed != 1 || f.count("stream") != 1 {
+			t.Fatalf("closed %d times, calls %v", closed, f.calls)
+		}
+	})
+}
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -245,10 +245,10 @@
 	}
 	g.counts.full.Add(1)
 	call := asCallError(err)
-	if call.Effect != traffic.EffectRejected && context.Cause(ctx) != context.Canceled {
+	if call.Misdirected || call.Effect != traffic.EffectRejected {
 		t := g.tracks.of(up)
 		t.begin()
-		t.end(outcomeBroken, time.Since(began), time.Now())
+		t.end(g.outcomeOf(ctx, nil, err), time.Since(began), time.Now())
 	}
 	klog.V(1).InfoS("place not reserved", "request", f.req.ID, "upstream", up.ID, "tokens", tokens, "err", err)
 	return nil, err
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -26,6 +26,8 @@
 	// kept is the failure that an upstream reported, for the caller if no other
 	// upstream does better.
 	kept *traffic.Answer
+	// arrivals counts the sends that reached some process.
+	arrivals int
 	// last is the last failed try, ran says that some try may have run.
 	last *traffic.CallError
 	ran  bool
@@ -40,6 +42,9 @@
 			break
 		}
 		answer, err := g.call(ctx, f, up)
+		if err == nil || asCallError(err).Effect != traffic.EffectNotSent {
+			c.arrivals++
+		}
 		if err == nil && (!answer.Failed() || !f.route.Repeatable()) {
 			c.kept = answer
 			break
@@ -66,12 +71,12 @@
 // further try is allowed.
 func (g *Gate) nextPlain(c *plainCall) *traffic.Upstream {
 	now := time.Now()
-	fresh := g.candidates(c.service, now, func(up *traffic.Upstream) bool { return !c.sent[up.ID] })
+	fresh := g.candidates(c.service, now, func(up *traffic.Upstream) bool { return !c.tried[up.ID] })
 	up := pick(fresh, g.cfg.Zone)
 	if up == nil || !c.maySend(up) {
 		return nil
 	}
-	if len(c.sent) == 0 {
+	if c.arrivals == 0 {
 		return up
 	}
 	if !g.cfg.Budget.Take(c.service, now) {
@@ -93,14 +98,14 @@
 	defer cancel()
 	t := g.tracks.of(up)
 	t.begin()
-	f.sent[up.ID] = true
+	f.sent[up.ID], f.tried[up.ID] = true, true
 	answer, err := g.cfg.Upstreams.Call(ctx, up, f.req, f.left(began))
 	took := time.Since(began)
 	result := g.outcomeOf(ctx, answer, err)
 	out := t.end(result, took, time.Now())
 	if err != nil {
 		call := asCallError(err)
-		if call.Effect == traffic.EffectNotSent {
+		if call.Missed() {
 			delete(f.sent, up.ID)
 		}
 		klog.InfoS("call failed", "request", f.req.ID, "upstream", up.ID, "effect", call.Effect, "took", took,
@@ -118,6 +123,8 @@
 		return outcomeFailed
 	case err == nil:
 		return outcomeAnswered
+	case asCallError(err).Misdirected:
+		return outcomeReplaced
 	case asCallError(err).Effect == traffic.EffectRejected:
 		return outcomeFailed
 	case context.Cause(ctx) == context.Canceled:
--- /dev/null
+++ b/dispatch/plain_test.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"greengagespoke/domain"
+	"greengagespoke/traffic"
+)
+
+func TestNonIdempotentCallIsSentOnce(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		ran  domain.Ran
+		sent int
+	}{
+		{"reset", errReset, domain.RanUnknown, 1},
+		{"silent", errSilent, domain.RanUnknown, 1},
+		{"rejected", errRejected, domain.RanNo, 1},
+		// Each of the two processes at the upstreams' addresses says it is another.
+		{"misdirected", errMisdirected, domain.RanNo, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, 1)
+				f.call = func(*traffic.Upstream) (*traffic.Answer, error) { return nil, c.err }
+				caller := f.serve("/once/x", &fakeCaller{})
+				if caller.refusal == nil || caller.refusal.Ran != c.ran {
+					t.Fatalf("refusal %v, want ran %s", caller.refusal, c.ran)
+				}
+				if got := f.count("call"); got != c.sent {
+					t.Fatalf("sent %d times, want %d", got, c.sent)
+				}
+			})
+		})
+	}
+}
+
+func TestCallThatWasNotSentGoesToAnotherUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		failed := false
+		f.call = func(*traffic.Upstream) (*traffic.Answer, error) {
+			if !failed {
+				failed = true
+				return nil, errRefused
+			}
+			return &traffic.Answer{Status: 200}, nil
+		}
+		if caller := f.serve("/once/x", &fakeCaller{}); caller.answer == nil {
+			t.Fatalf("refused: %v", caller.refusal)
+		}
+	})
+}
+
+func TestIdempotentCallIsTriedOnAnotherUpstream(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer *traffic.Answer
+		err    error
+	}{
+		{"failed", &traffic.Answer{Status: 500}, nil},
+		{"reset", nil, errReset},
+		{"silent", nil, errSilent},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, 1)
+				var first domain.UpstreamID
+				f.call = func(up *traffic.Upstream) (*traffic.Answer, error) {
+					if first == "" || first == up.ID {
+						first = up.ID
+						return c.answer, c.err
+					}
+					return &traffic.Answer{Status: 200}, nil
+				}
+				caller := f.serve("/again/x", &fakeCaller{})
+				if caller.answer == nil || caller.answer.Status != 200 {
+					t.Fatalf("answer %v, refusal %v", caller.answer, caller.refusal)
+				}
+			})
+		})
+	}
+}
+
+func TestFailureOfTheUpstreamIsDeliveredWhereNoOtherDoesBetter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.call = func(*traffic.Upstream) (*traffic.Answer, error) { return &traffic.Answer{Status: 500}, nil }
+		caller := f.serve("/again/x", &fakeCaller{})
+		if caller.answer == nil || caller.answer.Status != 500 {
+			t.Fatalf("answer %v, refusal %v", caller.answer, caller.refusal)
+		}
+		if got := f.count("call"); got != 2 {
+			t.Fatalf("sent %d times, want 2", got)
+		}
+	})
+}
+
+func TestUnknownRouteAndUnknownConfiguration(t *testing.T) {
+	f := newFixture(t, 1)
+	if caller := f.serve("/none/x", &fakeCaller{}); caller.refusal.Kind != domain.RefusalNoRoute {
+		t.Fatalf("refusal %v", caller.refusal)
+	}
+	f.leaving = true
+	if caller := f.serve("/once/x", &fakeCaller{}); caller.refusal.Kind != domain.RefusalLeaving || caller.refusal.Ran != domain.RanNo {
+		t.Fatalf("refusal %v", caller.refusal)
+	}
+}
--- a/dispatch/track.go
+++ b/dispatch/track.go
@@ -23,6 +23,9 @@
 	// doubles with each further failure.
 	firstBreak   = 500 * time.Millisecond
 	longestBreak = 4 * time.Second
+	// replacedBreak is how long an upstream is out at whose address another process
+	// answered: longer than the registry keeps the entry of one that crashed.
+	replacedBreak = 5 * time.Second
 )
 
 // outcome is how a call ended, as far as it tells of the upstream.
@@ -35,6 +38,8 @@
 	outcomeFailed
 	// outcomeBroken is a connection that failed, or an answer that never came.
 	outcomeBroken
+	// outcomeReplaced is an answer of another process at the upstream's address.
+	outcomeReplaced
 	// outcomeNone tells nothing, such as a caller who left.
 	outcomeNone
 )
@@ -96,6 +101,10 @@
 	}
 	t.failure += outcomeWeight * (failure - t.failure)
 	t.latency += time.Duration(outcomeWeight * float64(took-t.latency))
+	if result == outcomeReplaced {
+		t.out = now.Add(replacedBreak)
+		return true
+	}
 	if result != outcomeBroken {
 		t.broken = 0
 		return false
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -97,6 +97,9 @@
 	Err         error
 }
 
+// Missed says that the request did not reach the upstream it was meant for.
+func (e *CallError) Missed() bool { return e.Effect == EffectNotSent || e.Misdirected }
+
 // Error implements error.
 func (e *CallError) Error() string { return e.Err.Error() }
 
