Let late requests take only spare places, keep none beyond its caller's patience

Cause: in bursts 40% of generations were late; late requests of one host took places from requests of other hosts that could still be on time, and requests held beyond 4 s were lost as their callers had left.

--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -31,6 +31,8 @@
 	call    func(up *traffic.Upstream) (*traffic.Answer, error)
 	reserve func(up *traffic.Upstream, tokens int) error
 	prefill func(up *traffic.Upstream) error
+	// dropped is told the tokens of each reservation that is given back.
+	dropped func(tokens int)
 	stream  func(up *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error)
 }
 
@@ -94,8 +96,14 @@
 	return w.stream(up, opts)
 }
 
-func (w *world) DropReservation(r *traffic.Reservation) { w.note("drop place %s", r.Engine.ID) }
-func (w *world) DropPrompt(p *traffic.Prompt)           { w.note("drop prompt %s", p.Engine.ID) }
+func (w *world) DropReservation(r *traffic.Reservation) {
+	w.note("drop place %s", r.Engine.ID)
+	if w.dropped != nil {
+		w.dropped(r.Tokens)
+	}
+}
+
+func (w *world) DropPrompt(p *traffic.Prompt) { w.note("drop prompt %s", p.Engine.ID) }
 
 // errSilent makes a fake call wait until it is given up.
 var errSilent = errors.New("silent")
@@ -148,6 +156,8 @@
 	events  []string
 	// leaveAfter makes Event fail from that number on; 0 never does.
 	leaveAfter int
+	// onStart is called with the head of a stream; it may be nil.
+	onStart func()
 }
 
 func (c *fakeCaller) Answer(a *traffic.Answer) { c.answer = a }
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -38,15 +38,16 @@
 
 // Gate decides what happens to requests. It is safe for concurrent use.
 type Gate struct {
-	cfg    Config
-	tracks tracks
-	places *places
-	counts counts
+	cfg     Config
+	tracks  tracks
+	places  *places
+	readers *readers
+	counts  counts
 }
 
 // NewGate returns a gate.
 func NewGate(cfg Config) *Gate {
-	g := &Gate{cfg: cfg, tracks: newTracks(), counts: newCounts(cfg.Counters)}
+	g := &Gate{cfg: cfg, tracks: newTracks(), counts: newCounts(cfg.Counters), readers: newReaders()}
 	g.places = newPlaces(g)
 	return g
 }
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -205,13 +205,15 @@
 func (g *Gate) readPrompt(ctx context.Context, n *generation, place *traffic.Reservation) *traffic.Prompt {
 	tried := make(map[domain.UpstreamID]bool)
 	for range prefillsPerRequest {
-		up := pick(g.candidates(n.service, time.Now(), func(up *traffic.Upstream) bool {
+		engines := g.candidates(n.service, time.Now(), func(up *traffic.Upstream) bool {
 			return up.Role == domain.RolePrefill && !tried[up.ID]
-		}), place.Engine.Zone)
-		if up == nil {
+		})
+		up, delay := g.readers.pick(engines, place.Engine.Zone)
+		if up == nil || !g.mayCall(n, n.prefills) {
 			return nil
 		}
-		if !g.mayCall(n, n.prefills) {
+		if own := g.readers.ownTime(n.service, n.req.PromptTokens); own > 0 && delay > own {
+			klog.InfoS("prompt left to the decode engine", "request", n.req.ID, "expected delay", delay, "own time", own)
 			return nil
 		}
 		tried[up.ID] = true
@@ -239,7 +241,11 @@
 	t.begin()
 	began := time.Now()
 	prompt, err := g.cfg.Upstreams.Prefill(ctx, up, n.req, n.options(nil, nil))
-	t.end(g.outcomeOf(ctx, &traffic.Answer{}, err), time.Since(began), time.Now())
+	took := time.Since(began)
+	t.end(g.outcomeOf(ctx, &traffic.Answer{}, err), took, time.Now())
+	if err == nil {
+		g.readers.read(n.service, n.req.PromptTokens, took, time.Now())
+	}
 	return prompt, err
 }
 
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -20,9 +20,9 @@
 	// fullPause is how long an engine that rejected a reservation is not asked for
 	// one of that size again: about the time between two requests that end on one
 	// engine at full load.
-	fullPause = 150 * time.Millisecond
+	fullPause = 80 * time.Millisecond
 	// pollGap is the time between two tries of the first waiting request.
-	pollGap = 40 * time.Millisecond
+	pollGap = 25 * time.Millisecond
 	// latePollGap is the same for requests that can no longer be on time.
 	latePollGap = 150 * time.Millisecond
 	// reserveTimeout bounds the call that reserves a place: a few round trips
@@ -32,17 +32,24 @@
 	// behind a few others.
 	reserveLife = 2 * time.Second
 	// triesAtOnce bounds the engines that one try asks.
-	triesAtOnce = 3
+	triesAtOnce = 6
 	// serveTime is the time from a place to the first event: reading a prompt and
 	// the first step.
 	serveTime = 250 * time.Millisecond
-	// latePatience is the part of the caller's time that a request waits which can
-	// no longer be on time.
-	latePatience = 0.3
+	// silentPatience is the longest time without an answer after which callers still
+	// wait: they leave a stream that is silent for four times its target, but not
+	// before 2 s.
+	silentPatience = 4
+	leastPatience  = 2 * time.Second
+	patienceMargin = 500 * time.Millisecond
+	// lateSpare is the part of an engine's memory that must stay free where a
+	// request gets a place which can no longer be on time, so that it takes none
+	// from those that can.
+	lateSpare = 0.15
 	// headRoom is added to the estimated output, in tokens.
 	headRoom = 64
 	// hintMargin is the factor on the caller's estimate of the output.
-	hintMargin = 1.2
+	hintMargin = 1.0
 )
 
 // places reserves decode places for the requests of this host. Each service has
@@ -111,13 +118,13 @@
 		onTime:  f.req.Arrived.Add(f.route.Target - serveTime),
 		wake:    make(chan struct{}, 1),
 	}
-	giveUp := f.req.Arrived.Add(time.Duration(latePatience * float64(f.final.Sub(f.req.Arrived))))
+	giveUp := f.req.Arrived.Add(max(leastPatience, silentPatience*f.route.Target) - patienceMargin)
 	q.join(w)
 	defer q.leave(w)
 	for {
 		now := time.Now()
 		if q.first(w, now) {
-			if r := p.try(ctx, f, q, now); r != nil {
+			if r := p.try(ctx, f, q, now, now.After(w.onTime)); r != nil {
 				return r, nil
 			}
 		}
@@ -211,9 +218,12 @@
 }
 
 // try asks a few engines for a place, the least busy first.
-func (p *places) try(ctx context.Context, f *flight, q *placeQueue, now time.Time) *traffic.Reservation {
+func (p *places) try(ctx context.Context, f *flight, q *placeQueue, now time.Time, late bool) *traffic.Reservation {
 	g := p.gate
 	tokens := reserveTokens(f.req)
+	if late {
+		tokens += int(lateSpare * float64(f.engine.MemoryTokens))
+	}
 	open := g.candidates(f.service, now, func(up *traffic.Upstream) bool {
 		return up.Role == domain.RoleDecode && f.maySend(up) && !q.isFull(up.ID, tokens, now)
 	})
@@ -222,6 +232,11 @@
 		up := pick(open, g.cfg.Zone)
 		open = slices.DeleteFunc(open, func(c candidate) bool { return c.up == up })
 		r, err := g.reserve(ctx, f, up, tokens, life)
+		if err == nil && late {
+			// The spare is given back; only the check was wanted.
+			g.cfg.Upstreams.DropReservation(r)
+			r, err = g.reserve(ctx, f, up, reserveTokens(f.req), life)
+		}
 		if err == nil {
 			return r
 		}
