Read the store through two hosts of a zone in large fleets

Up to 16 hosts read the store themselves; above that two hosts of each availability zone do and relay it to the others, which fall back to the store where no copy is younger than 1.5 s.

--- a/adapters/peerrpc/errors.go
+++ b/adapters/peerrpc/errors.go
@@ -44,6 +44,7 @@
 	nameStillQueued errorName = "still_queued"
 	nameNotKeeper   errorName = "not_keeper"
 	nameUnreachable errorName = "unreachable"
+	nameRelayStale  errorName = "relay_stale"
 )
 
 // sentinels are the port errors that cross hosts by name.
@@ -51,6 +52,7 @@
 	nameStillQueued: ports.ErrStillQueued,
 	nameNotKeeper:   ports.ErrNotKeeper,
 	nameUnreachable: ports.ErrPeerUnreachable,
+	nameRelayStale:  ports.ErrRelayStale,
 }
 
 // toTwirp turns an error of a local implementation into one that keeps its kind
--- a/adapters/peerrpc/peers.go
+++ b/adapters/peerrpc/peers.go
@@ -55,6 +55,7 @@
 	gossip  gossipClient
 	tables  tableClient
 	gate    gateClient
+	relay   relayClient
 }
 
 // NewPeers returns access to the other hosts.
@@ -131,6 +132,14 @@
 	return unreachable{}
 }
 
+// Relay returns access to the rows of the store that another host has.
+func (p *Peers) Relay(host domain.HostID) ports.Relay {
+	if set, ok := p.remote(host); ok {
+		return set.relay
+	}
+	return unreachable{}
+}
+
 // localIf returns the local implementations where host is this one.
 func (p *Peers) localIf(host domain.HostID) Local {
 	if host != p.cfg.Self {
@@ -177,5 +186,6 @@
 		gossip:  gossipClient{host, peerpb.NewGossipServiceProtobufClient(base, p.client)},
 		tables:  tableClient{host, peerpb.NewTableServiceProtobufClient(base, p.client)},
 		gate:    gateClient{host, peerpb.NewGateServiceProtobufClient(base, p.client)},
+		relay:   relayClient{host, peerpb.NewRelayServiceProtobufClient(base, p.client)},
 	}
 }
--- a/adapters/peerrpc/server.go
+++ b/adapters/peerrpc/server.go
@@ -30,6 +30,7 @@
 	peerpb.GossipServicePathPrefix: serviceGossip,
 	peerpb.TableServicePathPrefix:  serviceTables,
 	peerpb.GateServicePathPrefix:   serviceGate,
+	peerpb.RelayServicePathPrefix:  serviceRelay,
 }
 
 // ServerConfig holds the local implementations that other hosts may call.
@@ -38,6 +39,8 @@
 	Gossip ports.Gossip
 	Tables ports.TablePeer
 	Gate   ports.GatePeer
+	// Relay hands on rows of the store; it may be nil.
+	Relay ports.Relay
 	// Key is the secret that all hosts share.
 	Key string
 	// Counters receives the traffic counts; nil discards them.
@@ -53,6 +56,7 @@
 		peerpb.NewGossipServiceServer(gossipService{cfg.Gossip}),
 		peerpb.NewTableServiceServer(tableService{cfg.Tables}),
 		peerpb.NewGateServiceServer(gateService{cfg.Gate}),
+		peerpb.NewRelayServiceServer(relayService{cfg.Relay}),
 	} {
 		mux.Handle(s.PathPrefix(), s)
 	}
--- a/adapters/peerrpc/traffic.go
+++ b/adapters/peerrpc/traffic.go
@@ -9,7 +9,7 @@
 	"greengagespoke/counters"
 )
 
-// service is one of the four twirp services, as named in paths and counters.
+// service is one of the twirp services, as named in paths and counters.
 type service string
 
 const (
@@ -17,9 +17,10 @@
 	serviceGossip service = "gossip"
 	serviceTables service = "tables"
 	serviceGate   service = "gate"
+	serviceRelay  service = "relay"
 )
 
-var services = []service{serviceKeeper, serviceGossip, serviceTables, serviceGate}
+var services = []service{serviceKeeper, serviceGossip, serviceTables, serviceGate, serviceRelay}
 
 // trafficDefs are the counter definitions of one service.
 type trafficDefs struct {
@@ -42,6 +43,7 @@
 		serviceGossip: defineTraffic(serviceGossip),
 		serviceTables: defineTraffic(serviceTables),
 		serviceGate:   defineTraffic(serviceGate),
+		serviceRelay:  defineTraffic(serviceRelay),
 	}
 	defUnauthenticated = counters.Define("peerrpc_unauthenticated", "requests of other hosts refused because of a wrong key or clock")
 	defUnreachable     = counters.Define("peerrpc_unreachable", "calls to other hosts that got no answer")
--- a/adapters/peerrpc/unreachable.go
+++ b/adapters/peerrpc/unreachable.go
@@ -70,3 +70,8 @@
 func (unreachable) Cancel(context.Context, domain.PoolName, domain.UpstreamID, domain.AttemptID) error {
 	return ports.ErrPeerUnreachable
 }
+
+// Read implements ports.Relay.
+func (unreachable) Read(context.Context, ports.RelayRequest) (ports.RelayPage, error) {
+	return ports.RelayPage{}, ports.ErrPeerUnreachable
+}
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -57,6 +57,7 @@
 	catalog    *catalog.Catalog
 	members    *membership.Membership
 	hosts      *registry.Hosts
+	source     *registry.Source
 	registry   *registry.Registry
 	upstreams  *upstream.Client
 	gate       *dispatch.Gate
@@ -81,7 +82,8 @@
 	d.adopt(s)
 	client := store.New(s.StoreAddress)
 	d.hosts = registry.NewHosts(client, self)
-	d.registry = registry.New(client, d.catalog, d.hosts)
+	d.source = registry.NewSource(client, s.Host)
+	d.registry = registry.New(d.source, d.catalog, d.hosts)
 	d.exchange = registry.NewConfigPeers(d.catalog.Config, d.catalog)
 	d.members = membership.New(membership.Config{
 		Self: self, HostList: d.hosts, Counters: set, OnRevision: d.exchange.Heard,
@@ -89,6 +91,7 @@
 	peers := d.peers(set)
 	d.members.Bind(peers)
 	d.exchange.Bind(peers)
+	d.source.Bind(d.members.Members, peers.Relay)
 	d.catalog.OnApply(d.members.SetRevision)
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: set, Leaving: d.refusing.Load,
@@ -199,7 +202,7 @@
 	}
 	peers := khttp.NewServer(khttp.Address(d.settings.Peers), khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler {
-			return peerrpc.NewServer(peerrpc.ServerConfig{Gossip: d.members, Tables: d.exchange, Key: peerKey, Counters: set})
+			return peerrpc.NewServer(peerrpc.ServerConfig{Gossip: d.members, Tables: d.exchange, Relay: d.source.Mirror(), Key: peerKey, Counters: set})
 		}))
 	all := []kratosServer{
 		ingress.NewCallers(ingress.CallersConfig{
