Give the spare back before the place is taken

Cause: the check of the spare memory and the place overlapped, so that together they asked for twice the memory; places were refused that were free.

--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -98,7 +98,7 @@
 	return w.stream(up, opts)
 }
 
-func (w *world) DropReservation(r *traffic.Reservation) {
+func (w *world) DropReservation(_ context.Context, r *traffic.Reservation) {
 	w.note("drop place %s", r.Engine.ID)
 	if w.dropped != nil {
 		w.dropped(r.Tokens)
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -203,7 +203,7 @@
 
 // dropPlace frees a place and a prompt that are not used.
 func (g *Gate) dropPlace(place *traffic.Reservation, prompt *traffic.Prompt) {
-	g.cfg.Upstreams.DropReservation(place)
+	go g.cfg.Upstreams.DropReservation(context.Background(), place)
 	if prompt != nil {
 		g.counts.vain.Add(1)
 		g.cfg.Upstreams.DropPrompt(prompt)
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -238,8 +238,9 @@
 		open = slices.DeleteFunc(open, func(c candidate) bool { return c.up == up })
 		r, err := g.reserve(ctx, f, up, tokens, life)
 		if err == nil {
-			// The spare is given back; only the check was wanted.
-			g.cfg.Upstreams.DropReservation(r)
+			// Only the check of the spare was wanted. The engine must have it back
+			// before the place is taken, or the two together need too much.
+			g.cfg.Upstreams.DropReservation(ctx, r)
 			r, err = g.reserve(ctx, f, up, reserveTokens(f.req), life)
 		}
 		if err == nil {
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -116,8 +116,10 @@
 	Prefill(ctx context.Context, up *Upstream, req *Request, opts SendOptions) (*Prompt, error)
 	// Stream starts a generation on a decode engine.
 	Stream(ctx context.Context, up *Upstream, req *Request, opts SendOptions) (Stream, error)
-	// DropReservation and DropPrompt free what is not used. They do not wait.
-	DropReservation(r *Reservation)
+	// DropReservation gives a place back and waits until the engine has it, for a
+	// bounded time. A place that is not given back lapses.
+	DropReservation(ctx context.Context, r *Reservation)
+	// DropPrompt frees a prompt that is not used. It does not wait.
 	DropPrompt(p *Prompt)
 }
 
