--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,98 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"greengagespoke/domain"
+	"greengagespoke/traffic"
+)
+
+func config(version domain.Revision, prefixes ...string) *traffic.Config {
+	c := &traffic.Config{Version: version}
+	for _, p := range prefixes {
+		c.Routes = append(c.Routes, traffic.Route{Name: p, Host: "h", Prefix: p})
+	}
+	return c
+}
+
+func TestLongestPrefixOfTheHostMatches(t *testing.T) {
+	c := New()
+	c.Apply(config(1, "/", "/a/", "/a/b/"), "test")
+	for path, want := range map[string]string{"/x": "/", "/a/x": "/a/", "/a/b/c": "/a/b/", "/a": "/"} {
+		if _, r := c.Match("H:80", path); r == nil || r.Prefix != want {
+			t.Errorf("%s matched %v, want %s", path, r, want)
+		}
+	}
+	if _, r := c.Match("other", "/a/x"); r != nil {
+		t.Errorf("another host matched %v", r)
+	}
+}
+
+func TestVersionNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New()
+		highest := domain.Revision(0)
+		for _, v := range rapid.SliceOf(rapid.Int64Range(1, 20)).Draw(t, "versions") {
+			c.Apply(config(domain.Revision(v)), "test")
+			highest = max(highest, domain.Revision(v))
+			if c.Version() != highest {
+				t.Fatalf("version %d in force, want %d", c.Version(), highest)
+			}
+		}
+	})
+}
+
+func up(id domain.UpstreamID, born int64) *traffic.Upstream {
+	return &traffic.Upstream{ID: id, Service: "s", Address: "10.0.0.1:1", Born: born}
+}
+
+func TestEntriesThatLapseInAnOutageAreKeptForAWhile(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New()
+	c.Replace([]*traffic.Upstream{up("a", 1), up("b", 1)}, now)
+	c.RegistryLost()
+	c.RegistryRegained(now)
+	c.Remove("a", now)
+	c.Remove("b", now)
+	if n := len(c.Ready("s")); n != 2 {
+		t.Fatalf("%d upstreams right after the outage, want 2", n)
+	}
+	c.Put(up("a", 1))
+	c.ExpireLapsed(now.Add(reappearGrace))
+	if got := c.Ready("s"); len(got) != 1 || got[0].ID != "a" {
+		t.Fatalf("after the grace time %v, want a alone", got)
+	}
+	c.Remove("a", now.Add(reappearGrace))
+	if n := len(c.Ready("s")); n != 0 {
+		t.Fatal("an upstream that left without an outage is still used")
+	}
+}
+
+func TestDrainingAndRestartedUpstreamsAreNotCurrent(t *testing.T) {
+	c := New()
+	first := up("a", 1)
+	c.Put(first)
+	if !c.Current(first) {
+		t.Fatal("a ready upstream is not current")
+	}
+	c.Put(up("a", 2))
+	if c.Current(first) {
+		t.Fatal("the former life of a restarted upstream is current")
+	}
+	leaving := up("a", 2)
+	leaving.State = traffic.UpstreamDraining
+	c.Put(leaving)
+	if c.Current(leaving) || len(c.Ready("s")) != 0 {
+		t.Fatal("a draining upstream takes new work")
+	}
+	// One that drains is not kept beyond its entry, not even after an outage.
+	c.RegistryLost()
+	c.RegistryRegained(time.Unix(5, 0))
+	c.Remove("a", time.Unix(5, 0))
+	if c.Known(leaving) {
+		t.Fatal("a drained upstream was kept")
+	}
+}
--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -3,7 +3,10 @@
 import (
 	"go/build"
 	"io/fs"
+	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -11,13 +14,14 @@
 const modulePath = "greengagespoke"
 
 // outer lists the packages that decisions must not import.
-var outer = []string{"adapters", "standin", "entry", "cmd", "demo"}
+var outer = []string{"adapters", "standin", "entry", "cmd", "demo", "platform", "platformentry"}
 
 // decisions lists the packages that run without sockets under virtual time.
 var decisions = []string{
 	"domain", "ports", "counters", "groups", "routing", "placement", "keeper", "claims", "quarantine",
 	"tables", "membership", "orders", "entrypoints", "fairqueue", "retry",
 	"hostwatch", "host", "leases", "storeguard", "relay",
+	"traffic", "catalog", "dispatch", "storerelay",
 }
 
 // TestImportsPointInwards checks that decisions import neither adapters nor
@@ -36,6 +40,71 @@
 	}
 }
 
+// adapterMayImport lists the packages of the module that the platform's adapters
+// may use: types, ports and helpers, but nothing that decides. The copies of the
+// store's tables are plain data.
+var adapterMayImport = []string{"domain", "ports", "traffic", "platform", "storerelay", "internal"}
+
+// TestPlatformDecidesNothing checks that the adapters of the users' platform
+// import no package that decides.
+func TestPlatformDecidesNothing(t *testing.T) {
+	dirs := packageDirs(t, filepath.Join("..", "..", "platform"))
+	if len(dirs) < 5 {
+		t.Fatalf("found %d packages below platform", len(dirs))
+	}
+	for _, dir := range dirs {
+		pkg, err := build.ImportDir(dir, 0)
+		if err != nil {
+			t.Fatalf("read package %s: %v", dir, err)
+		}
+		for _, path := range pkg.Imports {
+			inner, ok := strings.CutPrefix(path, modulePath+"/")
+			if !ok {
+				continue
+			}
+			first, _, _ := strings.Cut(inner, "/")
+			if !slices.Contains(adapterMayImport, first) {
+				t.Errorf("%s imports %s; the platform's adapters decide nothing", dir, path)
+			}
+		}
+	}
+}
+
+// wireNames matches names of the platform's protocol: headers, paths and fields.
+var wireNames = regexp.MustCompile("Greengagespoke-[A-Z]|\"/-/|rows-(tx|get|feed)|kv[-_](handle|hold|events|list|pin|move)|expected_rev|max_attempts|target_latency_ms|cold_left_ms")
+
+// TestWireNamesStayInThePlatformFolder checks that no Go file outside platform
+// names a header, path or field of the platform's protocol.
+func TestWireNamesStayInThePlatformFolder(t *testing.T) {
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		rel, _ := filepath.Rel(root, path)
+		if entry.IsDir() {
+			if rel == "platform" || rel == "platformentry" || rel == "internal/archtest" || strings.HasPrefix(entry.Name(), ".") && rel != "." {
+				return filepath.SkipDir
+			}
+			return nil
+		}
+		if !strings.HasSuffix(path, ".go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if found := wireNames.Find(text); found != nil {
+			t.Errorf("%s names %q of the platform's protocol; it belongs into platform", rel, found)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 func checkImports(t *testing.T, top, dir string) {
 	t.Helper()
 	pkg, err := build.ImportDir(dir, 0)
