--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -41,7 +41,7 @@
 	// before 2 s.
 	silentPatience = 4
 	leastPatience  = 2 * time.Second
-	patienceMargin = time.Second
+	patienceMargin = 2 * time.Second
 	// lateSpare is the memory that must stay free on an engine where a request gets
 	// a place which can no longer be on time, so that it takes none from those that
 	// can: room for this many requests of its size.
