--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -99,6 +99,7 @@
 		return refusal
 	}
 	placed := time.Now()
+	g.counts.wait.Record(placed.Sub(n.req.Arrived))
 	t := g.tracks.of(place.Engine)
 	t.begin()
 	result := outcomeNone
@@ -259,6 +260,7 @@
 	began := time.Now()
 	prompt, err := g.cfg.Upstreams.Prefill(ctx, up, n.req, n.options(nil, nil))
 	took := time.Since(began)
+	g.counts.prefill.Record(took)
 	t.end(g.outcomeOf(ctx, &traffic.Answer{}, err), took, time.Now())
 	if err == nil {
 		g.readers.read(n.service, n.req.PromptTokens, took, time.Now())
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -101,6 +101,7 @@
 	f.sent[up.ID], f.tried[up.ID] = true, true
 	answer, err := g.cfg.Upstreams.Call(ctx, up, f.req, f.left(began))
 	took := time.Since(began)
+	g.counts.call.Record(took)
 	result := g.outcomeOf(ctx, answer, err)
 	out := t.end(result, took, time.Now())
 	if err != nil {
--- a/internal/docstest/counters_test.go
+++ b/internal/docstest/counters_test.go
@@ -17,6 +17,7 @@
 	// The daemon imports the packages that count.
 	_ "greengagespoke/entry"
 	_ "greengagespoke/orders"
+	_ "greengagespoke/platformentry"
 )
 
 // TestCountersPage checks that the counters page lists the whole catalogue, and
