--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -71,6 +71,25 @@
 	}
 }
 
+// An upstream may leave without saying so right after an outage. Its entry is gone
+// for good, and it must get nothing new 2 s later (hunt-d3f6-35 of bloomcarton-tw).
+func TestEntriesThatGoRightAfterAnOutageAreNotKeptForLong(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New()
+	c.Put(up("a", 1))
+	c.RegistryLost()
+	c.RegistryRegained(now)
+	removed := now.Add(500 * time.Millisecond)
+	c.Remove("a", removed)
+	if len(c.Ready("s")) != 1 {
+		t.Fatal("dropped at once")
+	}
+	c.ExpireLapsed(removed.Add(1500 * time.Millisecond))
+	if len(c.Ready("s")) != 0 {
+		t.Fatal("still used 1.5 s after its entry went")
+	}
+}
+
 func TestDrainingAndRestartedUpstreamsAreNotCurrent(t *testing.T) {
 	c := New()
 	first := up("a", 1)
--- a/catalog/upstreams.go
+++ b/catalog/upstreams.go
@@ -17,6 +17,10 @@
 // the store is back: the platform restores entries of live ones within 2 s.
 const reappearGrace = 2200 * time.Millisecond
 
+// longestKept is how long such an upstream is kept after its entry went missing: one
+// that left meanwhile must get nothing new for longer than 2 s.
+const longestKept = 1300 * time.Millisecond
+
 // members is what the registry says of the upstreams.
 type members struct {
 	known map[domain.UpstreamID]*traffic.Upstream
@@ -107,6 +111,9 @@
 		return
 	}
 	until := c.members.returned.Add(reappearGrace)
+	if latest := now.Add(longestKept); until.After(latest) {
+		until = latest
+	}
 	if u.State == traffic.UpstreamReady && !c.members.returned.IsZero() && now.Before(until) {
 		if _, kept := c.members.lapsed[id]; !kept {
 			c.members.lapsed[id] = until
--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -28,6 +28,7 @@
 func newCounts(set *counters.Set) counts {
 	return counts{
 		refused: set.Int(defRefused), answered: set.Int(defAnswered), repeated: set.Int(defRepeated),
+		broken: set.Int(defBroken), gone: set.Int(defGone),
 		reserves: set.Int(defReserves), full: set.Int(defFull), vain: set.Int(defVain),
 		wait: set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
 	}
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -344,7 +344,7 @@
 // relay passes the events on until the stream ends.
 func (g *Gate) relay(ctx context.Context, n *generation, stream traffic.Stream) error {
 	for {
-		wait := n.final.Sub(time.Now())
+		wait := time.Until(n.final)
 		if n.route.Resumable {
 			wait = min(wait, silenceLimit)
 		}
