--- a/adapters/peerrpc/auth.go
+++ b/adapters/peerrpc/auth.go
@@ -14,9 +14,8 @@
 const (
 	// authHeader carries the time and the message authentication code.
 	authHeader = "Authorization"
-	// maxClockSkew is the largest accepted difference between the time in a
-	// request and the receiver's wall clock.
-	maxClockSkew = time.Minute
+	// defaultClockSkew is accepted where the clocks of the hosts are synchronized.
+	defaultClockSkew = time.Minute
 	// macBytes is the length of the truncated code, half of SHA-256.
 	macBytes = sha256.Size / 2
 	// timeBase is the number base of the time in the header.
@@ -35,10 +34,13 @@
 type authenticator struct {
 	key []byte
 	now func() time.Time
+	// maxSkew is the largest accepted difference between the time in a request and
+	// the receiver's wall clock.
+	maxSkew time.Duration
 }
 
 func newAuthenticator(key string, now func() time.Time) *authenticator {
-	return &authenticator{key: []byte(key), now: now}
+	return &authenticator{key: []byte(key), now: now, maxSkew: defaultClockSkew}
 }
 
 // sign sets the signature header of a request.
@@ -66,7 +68,7 @@
 	if err != nil {
 		return errBadSignature
 	}
-	if a.now().Sub(time.UnixMilli(millis)).Abs() > maxClockSkew {
+	if a.now().Sub(time.UnixMilli(millis)).Abs() > a.maxSkew {
 		return errClockSkew
 	}
 	return nil
--- a/adapters/peerrpc/server.go
+++ b/adapters/peerrpc/server.go
@@ -43,6 +43,9 @@
 	Relay ports.Relay
 	// Key is the secret that all hosts share.
 	Key string
+	// ClockSkew is the largest accepted difference between the wall clocks of two
+	// hosts; zero means a minute.
+	ClockSkew time.Duration
 	// Counters receives the traffic counts; nil discards them.
 	Counters *counters.Set
 }
@@ -60,9 +63,13 @@
 	} {
 		mux.Handle(s.PathPrefix(), s)
 	}
+	auth := newAuthenticator(cfg.Key, time.Now)
+	if cfg.ClockSkew > 0 {
+		auth.maxSkew = cfg.ClockSkew
+	}
 	return &server{
 		next:    mux,
-		auth:    newAuthenticator(cfg.Key, time.Now),
+		auth:    auth,
 		traffic: newTraffic(cfg.Counters),
 	}
 }
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -41,6 +41,9 @@
 	// peerKey signs messages between hosts. The platform gives hosts no secret, so
 	// it only tells hosts of this system from other programs.
 	peerKey = "greengagespoke hosts"
+	// clockSkew is what the wall clocks of two hosts may differ by: the platform's
+	// clocks jump, and liveness must not depend on them.
+	clockSkew = 365 * 24 * time.Hour
 	// peerIdle is how long an unused connection to another host is kept.
 	peerIdle = 30 * time.Second
 	// peerConns is the number of idle connections kept to one host.
@@ -202,7 +205,7 @@
 	}
 	peers := khttp.NewServer(khttp.Address(d.settings.Peers), khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler {
-			return peerrpc.NewServer(peerrpc.ServerConfig{Gossip: d.members, Tables: d.exchange, Relay: d.source.Mirror(), Key: peerKey, Counters: set})
+			return peerrpc.NewServer(peerrpc.ServerConfig{Gossip: d.members, Tables: d.exchange, Relay: d.source.Mirror(), Key: peerKey, ClockSkew: clockSkew, Counters: set})
 		}))
 	all := []kratosServer{
 		ingress.NewCallers(ingress.CallersConfig{
--- /dev/null
+++ b/soak/faults.go
@@ -0,0 +1,106 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"time"
+
+	"greengagespoke/platform/platformtest"
+)
+
+const (
+	// faultGap is the mean time between two faults; they overlap.
+	faultGap = 250 * time.Millisecond
+	// faultLength is the mean length of a fault.
+	faultLength = 900 * time.Millisecond
+	// aftermath is how long a fault of a host may explain what callers see.
+	aftermath = 6 * time.Second
+)
+
+// injectFaults starts random faults until the length of the run has passed.
+func (r *run) injectFaults(ctx context.Context) {
+	kinds := []func(time.Duration){
+		r.killHost, r.pauseHost, r.stopHost, r.hangUp, r.breakLink, r.breakLink,
+		r.breakStore, r.forget, r.change, r.change, r.breakWorker, r.breakWorker, r.drainWorker,
+	}
+	for end := time.Now().Add(r.options.Length); time.Now().Before(end) && ctx.Err() == nil; {
+		time.Sleep(time.Duration(r.draw.Int64N(int64(2 * faultGap))))
+		length := faultLength/3 + time.Duration(r.draw.Int64N(int64(faultLength)))
+		r.faults++
+		kinds[r.draw.IntN(len(kinds))](length)
+	}
+}
+
+func (r *run) anyHost() *host { return r.hosts[r.draw.IntN(len(r.hosts))] }
+
+// restart starts a host again after its process has ended.
+func (r *run) restart(h *host, limit time.Duration) {
+	if err := h.wait(limit); err != nil {
+		r.ledger.find("%v", err)
+	}
+	if err := h.start(); err != nil {
+		r.ledger.find("%v", err)
+	}
+}
+
+func (r *run) killHost(length time.Duration) {
+	h := r.anyHost()
+	h.disturb(aftermath)
+	h.signal(syscall.SIGKILL)
+	time.Sleep(length / 4)
+	r.restart(h, time.Second)
+}
+
+func (r *run) pauseHost(length time.Duration) {
+	h := r.anyHost()
+	h.disturb(length + aftermath)
+	h.signal(syscall.SIGSTOP)
+	time.AfterFunc(length, func() { h.signal(syscall.SIGCONT) })
+}
+
+func (r *run) stopHost(time.Duration) {
+	h := r.anyHost()
+	h.disturb(aftermath)
+	h.signal(syscall.SIGCONT)
+	h.signal(syscall.SIGTERM)
+	r.restart(h, stopLimit)
+}
+
+func (r *run) hangUp(time.Duration) { r.anyHost().signal(syscall.SIGHUP) }
+
+func (r *run) breakLink(length time.Duration) {
+	h := r.anyHost()
+	h.disturb(length + aftermath)
+	h.link.set(linkMode(1 + r.draw.IntN(4)))
+	time.AfterFunc(length, func() { h.link.set(linkOpen) })
+}
+
+func (r *run) breakStore(length time.Duration) {
+	r.store.SetMode(platformtest.StoreMode(1 + r.draw.IntN(3)))
+	time.AfterFunc(length, func() { r.store.SetMode(platformtest.StoreUp) })
+}
+
+func (r *run) forget(time.Duration) { r.store.Forget() }
+
+func (r *run) change(time.Duration) { r.configure() }
+
+// breakWorker makes a worker spoil a part of its requests.
+func (r *run) breakWorker(length time.Duration) {
+	w := r.workers[r.draw.IntN(len(r.workers))]
+	fault := platformtest.Fault(1 + r.draw.IntN(7))
+	count := 0
+	w.SetFault(func(*http.Request) platformtest.Fault {
+		if count++; count%2 == 0 {
+			return platformtest.FaultNone
+		}
+		return fault
+	})
+	time.AfterFunc(length, func() { w.SetFault(nil) })
+}
+
+func (r *run) drainWorker(length time.Duration) {
+	w := r.workers[r.draw.IntN(len(r.workers))]
+	w.Register(r.store, "draining")
+	time.AfterFunc(length, func() { w.Register(r.store, "ready") })
+}
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"greengagespoke/platform/platformtest"
+	"greengagespoke/platform/settings"
+)
+
+// host is one entry host: a process that is started again and again.
+type host struct {
+	name, zone string
+	binary     string
+	dir        string
+	link       *proxy
+	callers    string
+	ready      string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	life    int
+	// disturbed is until when faults may explain what callers see.
+	disturbed time.Time
+	// leaving says that the process got SIGTERM.
+	leaving bool
+}
+
+// freePort returns a port that is free now.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // Loopback.
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// newHost writes the settings of a host. It is not started yet.
+func newHost(binary, dir, name, zone string, link *proxy) (*host, error) {
+	h := &host{name: name, zone: zone, binary: binary, dir: dir, link: link}
+	ports := make([]string, 4)
+	for i := range ports {
+		var err error
+		if ports[i], err = freePort(); err != nil {
+			return nil, eris.Wrap(err, "no free port; end other programs")
+		}
+	}
+	h.callers, h.ready = ports[0], ports[1]
+	text, err := json.Marshal(platformtest.SettingsFile(name, zone, ports[0], ports[1], ports[2], ports[3], link.address()))
+	if err != nil {
+		return nil, err
+	}
+	return h, os.WriteFile(h.settingsPath(), text, 0o600)
+}
+
+func (h *host) settingsPath() string { return filepath.Join(h.dir, h.name+".json") }
+
+// start starts the process; its log goes to a file.
+func (h *host) start() error {
+	log, err := os.OpenFile(filepath.Join(h.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(h.binary, "serve") //nolint:noctx // Ended by signals.
+	command.Env = append(os.Environ(), settings.PathVariable+"="+h.settingsPath())
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return eris.Wrapf(err, "cannot start %s; build it first", h.binary)
+	}
+	exited := make(chan struct{})
+	h.mu.Lock()
+	h.command, h.exited, h.leaving = command, exited, false
+	h.life++
+	h.mu.Unlock()
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that runs now.
+func (h *host) signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.command != nil && h.command.Process != nil {
+		_ = h.command.Process.Signal(s) // A process that has ended needs none.
+	}
+}
+
+// disturb notes that faults may explain what callers see for a while.
+func (h *host) disturb(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if until := time.Now().Add(d); until.After(h.disturbed) {
+		h.disturbed = until
+	}
+}
+
+// calm returns the life of the process and whether no fault has touched it since.
+func (h *host) calm() (life int, calm bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.life, time.Now().After(h.disturbed)
+}
+
+// wait waits for the end of the process and kills it after a time.
+func (h *host) wait(limit time.Duration) error {
+	h.mu.Lock()
+	exited := h.exited
+	h.mu.Unlock()
+	select {
+	case <-exited:
+		return nil
+	case <-time.After(limit):
+		h.signal(syscall.SIGKILL)
+		<-exited
+		return fmt.Errorf("host %s did not end within %s", h.name, limit)
+	}
+}
--- /dev/null
+++ b/soak/run.go
@@ -0,0 +1,221 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"greengagespoke/platform/platformtest"
+	"greengagespoke/platform/wire"
+)
+
+const (
+	// settle is how long a run waits at its end, without faults, before it looks at
+	// what was left.
+	settle = 3 * time.Second
+	// stopLimit is the longest planned stop.
+	stopLimit = 12 * time.Second
+)
+
+// Options describe a run.
+type Options struct {
+	// Binary is the program under test, Dir a directory for settings and logs.
+	Binary, Dir string
+	Seed        uint64
+	Length      time.Duration
+	Hosts       int
+	Callers     int
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed     uint64
+	Requests int
+	Faults   int
+	// Statuses counts the answers by status; 0 stands for none.
+	Statuses map[int]int
+	Findings []string
+}
+
+// String returns the report on one line, with a line for each finding.
+func (r Report) String() string {
+	out := fmt.Sprintf("seed %d: %d requests, %d faults, answers %v, %d findings", r.Seed, r.Requests, r.Faults, r.Statuses, len(r.Findings))
+	for _, f := range r.Findings {
+		out += "\n  " + f
+	}
+	return out
+}
+
+// run is one run on its way.
+type run struct {
+	options Options
+	store   *platformtest.Store
+	workers []*platformtest.Worker
+	hosts   []*host
+	ledger  *ledger
+	draw    *rand.Rand
+	faults  int
+
+	mu      sync.Mutex
+	version int
+	// versions holds the highest version that a life of a host has shown.
+	versions map[string]int
+}
+
+// Run plays one run.
+func Run(ctx context.Context, options Options) (Report, error) {
+	r := &run{
+		options: options, ledger: newLedger(), versions: make(map[string]int),
+		draw: rand.New(rand.NewPCG(options.Seed, 0)),
+	}
+	defer r.close()
+	if err := r.setUp(ctx); err != nil {
+		return Report{}, err
+	}
+	calling, stop := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for n := range options.Callers {
+		draw := rand.New(rand.NewPCG(options.Seed, uint64(n)+1))
+		callers.Go(func() { r.caller(calling, n, draw) })
+	}
+	r.injectFaults(ctx)
+	r.heal()
+	time.Sleep(settle)
+	stop()
+	callers.Wait()
+	r.stopAll()
+	r.ledger.check(r.runsOf)
+	return Report{
+		Seed: options.Seed, Requests: len(r.ledger.requests), Faults: r.faults,
+		Statuses: r.ledger.statuses, Findings: r.ledger.findings,
+	}, nil
+}
+
+// setUp starts the store, the workers and the hosts.
+func (r *run) setUp(ctx context.Context) error {
+	r.store = platformtest.NewStore()
+	r.configure()
+	for _, w := range []*platformtest.Worker{
+		platformtest.NewWorker("v0-1", "v0", "z-a", ""), platformtest.NewWorker("v0-2", "v0", "z-b", ""),
+		platformtest.NewWorker("v1-1", "v1", "z-a", ""), platformtest.NewWorker("v1-2", "v1", "z-b", ""),
+		platformtest.NewWorker("v2-1", "v2", "z-a", ""), platformtest.NewWorker("v2-2", "v2", "z-b", ""),
+		platformtest.NewWorker("pre-1", "models", "z-a", "prefill"), platformtest.NewWorker("pre-2", "models", "z-b", "prefill"),
+		platformtest.NewWorker("dec-1", "models", "z-a", "decode"), platformtest.NewWorker("dec-2", "models", "z-b", "decode"),
+	} {
+		w.SetStream(streamEvents, 15*time.Millisecond)
+		w.Register(r.store, "ready")
+		r.workers = append(r.workers, w)
+	}
+	for i := range r.options.Hosts {
+		link, err := newProxy(ctx, r.store.Address())
+		if err != nil {
+			return err
+		}
+		h, err := newHost(r.options.Binary, r.options.Dir, fmt.Sprintf("host-%d", i+1), []string{"z-a", "z-b"}[i%2], link)
+		if err != nil {
+			return err
+		}
+		if err := h.start(); err != nil {
+			return err
+		}
+		r.hosts = append(r.hosts, h)
+	}
+	return nil
+}
+
+// configure writes the next version. Plain calls go to another service with each
+// version, so that answers show which one is in force.
+func (r *run) configure() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	plain := fmt.Sprintf("v%d", r.version%3)
+	r.store.Configure(r.version, hostName, []platformtest.Route{
+		{Prefix: "/filing/", Kind: platformtest.KindOnce, Service: plain, Attempts: 1},
+		{Prefix: "/status/", Kind: platformtest.KindRepeat, Service: plain, Attempts: 2},
+		{Prefix: "/draft/", Kind: platformtest.KindStream, Service: "models", Attempts: 1, Engine: true},
+		{Prefix: "/note/", Kind: platformtest.KindStream, Service: "models", Attempts: 2, Engine: true, Resume: true},
+	})
+}
+
+// seen returns the highest version that a life of a host has shown.
+func (r *run) seen(h *host, life int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.versions[fmt.Sprint(h.name, "/", life)]
+}
+
+// checkVersion checks that a host did not go back below a version that it had shown
+// before the request was sent. An answer names its service, which the three latest
+// versions do not share.
+func (r *run) checkVersion(h *host, life, before int, body string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	shown := 0
+	for v := r.version; v > max(0, r.version-3); v-- {
+		if strings.Contains(body, fmt.Sprintf("answer of v%d-", v%3)) {
+			shown = v
+		}
+	}
+	if before > r.version-2 && shown < before {
+		r.ledger.find("%s served version %d after version %d", h.name, shown, before)
+	}
+	key := fmt.Sprint(h.name, "/", life)
+	r.versions[key] = max(r.versions[key], shown)
+}
+
+func (r *run) runsOf(id string) int {
+	n := 0
+	for _, w := range r.workers {
+		n += w.Runs(id)
+	}
+	return n
+}
+
+// stopAll makes a planned stop of all hosts.
+func (r *run) stopAll() {
+	for _, h := range r.hosts {
+		h.signal(syscall.SIGTERM)
+	}
+	for _, h := range r.hosts {
+		if err := h.wait(stopLimit); err != nil {
+			r.ledger.find("%v", err)
+		}
+	}
+	for _, w := range r.workers {
+		if w.Stage == "decode" && w.Held() > 0 {
+			r.ledger.find("%d places of %s were never given back", w.Held(), w.ID)
+		}
+	}
+}
+
+func (r *run) close() {
+	for _, h := range r.hosts {
+		h.signal(syscall.SIGCONT)
+		h.signal(syscall.SIGKILL)
+		h.link.close()
+	}
+	for _, w := range r.workers {
+		w.Close()
+	}
+	if r.store != nil {
+		r.store.Close()
+	}
+}
+
+// heal ends all faults.
+func (r *run) heal() {
+	r.store.SetMode(platformtest.StoreUp)
+	for _, h := range r.hosts {
+		h.link.set(linkOpen)
+		h.signal(syscall.SIGCONT)
+	}
+	for _, w := range r.workers {
+		w.SetFault(nil)
+		r.store.Put(wire.TableUpstreams, w.ID, w.Entry("ready"))
+	}
+}
