--- a/adapters/peerrpc/peers_test.go
+++ b/adapters/peerrpc/peers_test.go
@@ -178,11 +178,11 @@
 		skew       time.Duration
 		want       error
 	}{
-		"same":        {"/p", "body", maxClockSkew, nil},
+		"same":        {"/p", "body", defaultClockSkew, nil},
 		"other body":  {"/p", "bodY", 0, errBadSignature},
 		"other path":  {"/q", "body", 0, errBadSignature},
-		"old request": {"/p", "body", maxClockSkew + time.Second, errClockSkew},
-		"slow clock":  {"/p", "body", -maxClockSkew - time.Second, errClockSkew},
+		"old request": {"/p", "body", defaultClockSkew + time.Second, errClockSkew},
+		"slow clock":  {"/p", "body", -defaultClockSkew - time.Second, errClockSkew},
 	}
 	for name, c := range cases {
 		receiver := newAuthenticator(testKey, func() time.Time { return now.Add(c.skew) })
