--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -67,6 +67,8 @@
 	return n
 }
 
+func (w *world) Connected(*traffic.Upstream) bool { return true }
+
 func (w *world) Call(ctx context.Context, up *traffic.Upstream, _ *traffic.Request, _ time.Duration) (*traffic.Answer, error) {
 	w.note("call %s", up.ID)
 	answer, err := w.call(up)
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -18,6 +18,9 @@
 	failureCost = 500 * time.Millisecond
 	// activeCost is the cost of one call under way: about the work of a plain call.
 	activeCost = 15 * time.Millisecond
+	// newConnectionCost is the extra cost of an upstream to which no connection is
+	// idle: upstreams bound their connections, and a new one takes a round trip.
+	newConnectionCost = 10 * time.Millisecond
 	// spreadCost breaks ties between equal upstreams, so that hosts do not all
 	// choose the same one.
 	spreadCost = 5 * time.Millisecond
@@ -27,6 +30,8 @@
 type candidate struct {
 	up     *traffic.Upstream
 	health health
+	// connected says that a connection to it is idle.
+	connected bool
 }
 
 // candidates returns the upstreams of a service that keep allows, and leaves out
@@ -37,7 +42,7 @@
 		if !keep(up) {
 			continue
 		}
-		c := candidate{up: up, health: g.tracks.of(up).health(now)}
+		c := candidate{up: up, health: g.tracks.of(up).health(now), connected: g.cfg.Upstreams.Connected(up)}
 		if c.health.out {
 			broken = append(broken, c)
 		} else {
@@ -57,7 +62,15 @@
 	if c.up.Zone != zone {
 		cost += zoneCost
 	}
-	return cost + rand.N(spreadCost)
+	return cost + c.connectCost() + rand.N(spreadCost)
+}
+
+// connectCost is the cost of the connection that a candidate needs.
+func (c candidate) connectCost() time.Duration {
+	if c.connected {
+		return 0
+	}
+	return newConnectionCost
 }
 
 // pick returns the candidate of least cost, or nil where there is none.
--- a/dispatch/readers.go
+++ b/dispatch/readers.go
@@ -57,7 +57,7 @@
 	var least, delay time.Duration
 	for _, c := range engines {
 		expected := c.health.latency * time.Duration(1+c.health.active)
-		cost := expected + time.Duration(c.health.failure*float64(failureCost)) + rand.N(spreadCost)
+		cost := expected + time.Duration(c.health.failure*float64(failureCost)) + rand.N(spreadCost) + c.connectCost()
 		if c.up.Zone != zone {
 			cost += zoneCost
 		}
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -108,6 +108,9 @@
 
 // Upstreams calls upstreams. Cancelling a context ends the call and the work.
 type Upstreams interface {
+	// Connected reports whether a connection to an upstream is idle. A new one is
+	// dear.
+	Connected(up *Upstream) bool
 	// Call sends a plain request. Errors are *CallError.
 	Call(ctx context.Context, up *Upstream, req *Request, left time.Duration) (*Answer, error)
 	// Reserve asks a decode engine for a slot and memory for a time.
