--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -24,6 +24,9 @@
 	silenceLimit = 1500 * time.Millisecond
 	// prefillsPerRequest bounds the prompts read for one place.
 	prefillsPerRequest = 2
+	// keptShare is the part of the life of a read prompt within which it may go to
+	// another decode engine.
+	keptShare = 0.6
 )
 
 // generation is a request to model engines on its way.
@@ -39,6 +42,9 @@
 	events int
 	// last is the engine that streamed last. It keeps the prompt for a while.
 	last *traffic.Upstream
+	// kept is a prompt that was read at readAt and not used yet.
+	kept   *traffic.Prompt
+	readAt time.Time
 	// prefills and sends count the calls that had the prompt read and those that
 	// asked for the stream.
 	prefills, sends int
@@ -47,6 +53,7 @@
 // generate serves a generation.
 func (g *Gate) generate(ctx context.Context, f *flight, caller traffic.Caller) {
 	n := &generation{flight: f, caller: caller}
+	defer func() { g.dropPrompt(n.kept) }()
 	for {
 		refusal := g.attempt(ctx, n)
 		if refusal == nil {
@@ -75,10 +82,10 @@
 	if n.mayRun && !n.route.Resumable {
 		return false
 	}
-	if n.mayRun {
-		return len(n.sent) < n.route.MaxAttempts
+	if n.sends > n.route.MaxAttempts {
+		return false
 	}
-	return n.sends <= n.route.MaxAttempts
+	return !n.mayRun || len(n.sent) < n.route.MaxAttempts
 }
 
 // mayCall reports whether one more call of the request to the service is within
@@ -94,6 +101,10 @@
 // attempt reserves a place, has the prompt read and relays the stream. It returns
 // nil where the caller has the whole answer or has left.
 func (g *Gate) attempt(ctx context.Context, n *generation) *domain.Refusal {
+	if n.sends > 0 && !g.mayCall(n, n.sends) {
+		return domain.Refuse(domain.RefusalOverloaded, "the retry budget is used up",
+			"try again after the stated time").WithRan(n.ran()).After(busyRetry)
+	}
 	place, refusal := g.placeFor(ctx, n)
 	if refusal != nil {
 		return refusal
@@ -107,56 +118,83 @@
 		t.end(result, 0, time.Now())
 		g.places.queue(n.service).freed(place.Engine.ID)
 	}()
-	var prompt *traffic.Prompt
-	if place.Engine != n.last {
-		prompt = g.readPrompt(ctx, n, place)
-	}
+	prompt := g.promptFor(ctx, n, place)
 	if ctx.Err() != nil {
-		g.dropPlace(place, prompt)
+		g.dropPlace(place)
+		g.dropPrompt(prompt)
 		return n.ended(ctx)
 	}
 	read := time.Now()
 	stream, err := g.open(ctx, n, place, prompt)
 	if err != nil {
-		call := asCallError(err)
-		result = g.openOutcome(ctx, call)
-		klog.InfoS("decode not started", "request", n.req.ID, "upstream", place.Engine.ID, "effect", call.Effect, "err", err)
-		if call.Effect != traffic.EffectUnknown {
-			g.dropPlace(place, prompt)
-		}
-		n.mayRun = n.mayRun || call.Effect == traffic.EffectUnknown
-		if ctx.Err() != nil {
-			return n.ended(ctx)
-		}
-		if errors.Is(err, errBudget) {
-			return domain.Refuse(domain.RefusalOverloaded, err.Error(), "try again after the stated time").
-				WithRan(n.ran()).After(busyRetry)
-		}
-		return n.failed("the decode engine " + string(place.Engine.ID) + " failed")
+		result, refusal = g.notOpened(ctx, n, place, prompt, asCallError(err))
+		return refusal
 	}
 	n.mayRun, n.last = true, place.Engine
 	defer stream.Close()
 	klog.InfoS("stream started", "request", n.req.ID, "decode", place.Engine.ID, "prefill", promptEngine(prompt),
 		"waited", placed.Sub(n.req.Arrived).Round(time.Millisecond), "read", read.Sub(placed).Round(time.Millisecond),
 		"reserved", place.Tokens, "version", n.version)
-	err = g.relay(ctx, n, stream)
+	result, refusal = g.relayed(ctx, n, place, g.relay(ctx, n, stream))
+	return refusal
+}
+
+// notOpened takes that a stream did not start. A prompt whose request did not reach
+// the engine is kept for the next one.
+func (g *Gate) notOpened(ctx context.Context, n *generation, place *traffic.Reservation, prompt *traffic.Prompt, call *traffic.CallError) (outcome, *domain.Refusal) {
+	klog.InfoS("decode not started", "request", n.req.ID, "upstream", place.Engine.ID, "effect", call.Effect, "err", call.Err)
+	if call.Effect != traffic.EffectUnknown {
+		g.dropPlace(place)
+	}
+	switch {
+	case call.Missed():
+		n.kept = prompt
+	case call.Effect == traffic.EffectRejected:
+		g.dropPrompt(prompt)
+	}
+	n.mayRun = n.mayRun || call.Effect == traffic.EffectUnknown
+	result := g.openOutcome(ctx, call)
+	if ctx.Err() != nil {
+		return result, n.ended(ctx)
+	}
+	return result, n.failed("the decode engine " + string(place.Engine.ID) + " failed")
+}
+
+// relayed takes how the relay of a stream ended.
+func (g *Gate) relayed(ctx context.Context, n *generation, place *traffic.Reservation, err error) (outcome, *domain.Refusal) {
 	switch {
 	case err == nil:
-		result = outcomeAnswered
 		g.counts.answered.Add(1)
 		klog.InfoS("stream ended", "request", n.req.ID, "decode", place.Engine.ID, "events", n.events,
 			"prompt", n.req.PromptTokens, "max output", n.req.MaxOutput, "hint", n.req.OutputHint, "reserved", place.Tokens,
 			"took", time.Since(n.req.Arrived).Round(time.Millisecond))
-		return nil
+		return outcomeAnswered, nil
 	case ctx.Err() != nil || errors.Is(err, errCallerGone):
-		return n.ended(ctx)
+		return outcomeNone, n.ended(ctx)
 	default:
-		result = outcomeBroken
 		klog.InfoS("stream lost", "request", n.req.ID, "decode", place.Engine.ID, "events", n.events, "err", err)
-		return n.failed("the stream of " + string(place.Engine.ID) + " broke")
+		return outcomeBroken, n.failed("the stream of " + string(place.Engine.ID) + " broke")
 	}
 }
 
+// promptFor returns the read prompt that goes with a place, or nil where the decode
+// engine has the prompt or must read it itself.
+func (g *Gate) promptFor(ctx context.Context, n *generation, place *traffic.Reservation) *traffic.Prompt {
+	if place.Engine == n.last {
+		return nil
+	}
+	if kept := n.kept; kept != nil {
+		n.kept = nil
+		if time.Since(n.readAt) < time.Duration(keptShare*float64(n.engine.HandleLife)) {
+			return kept
+		}
+		g.dropPrompt(kept)
+	}
+	prompt := g.readPrompt(ctx, n, place)
+	n.readAt = time.Now()
+	return prompt
+}
+
 // placeFor reserves a place. A stream that broke goes on where it was if that
 // engine still answers, as it has the prompt.
 func (g *Gate) placeFor(ctx context.Context, n *generation) (*traffic.Reservation, *domain.Refusal) {
@@ -175,7 +213,7 @@
 	switch {
 	case call.Misdirected:
 		return outcomeReplaced
-	case call.Effect == traffic.EffectRejected, ctx.Err() != nil, errors.Is(call, errBudget), errors.Is(call, errLeft):
+	case call.Effect == traffic.EffectRejected, ctx.Err() != nil, errors.Is(call, errLeft):
 		return outcomeNone
 	default:
 		return outcomeBroken
@@ -202,9 +240,13 @@
 	return domain.RanNo
 }
 
-// dropPlace frees a place and a prompt that are not used.
-func (g *Gate) dropPlace(place *traffic.Reservation, prompt *traffic.Prompt) {
+// dropPlace frees a place that is not used. It does not wait.
+func (g *Gate) dropPlace(place *traffic.Reservation) {
 	go g.cfg.Upstreams.DropReservation(context.Background(), place)
+}
+
+// dropPrompt frees a prompt that is not used; nil is none.
+func (g *Gate) dropPrompt(prompt *traffic.Prompt) {
 	if prompt != nil {
 		g.counts.vain.Add(1)
 		g.cfg.Upstreams.DropPrompt(prompt)
@@ -279,18 +321,12 @@
 // errLeft means that an engine began to leave after a place on it was reserved.
 var errLeft = errors.New("the engine no longer takes work; another one is chosen")
 
-// errBudget means that the retry budget allows no further call.
-var errBudget = errors.New("the retry budget is used up; wait until the upstreams fail less")
-
 // open starts the stream on the decode engine.
 func (g *Gate) open(ctx context.Context, n *generation, place *traffic.Reservation, prompt *traffic.Prompt) (traffic.Stream, error) {
 	up := place.Engine
 	if !g.cfg.Catalog.Current(up) {
 		return nil, &traffic.CallError{Effect: traffic.EffectNotSent, Err: errLeft}
 	}
-	if !g.mayCall(n, n.sends) {
-		return nil, &traffic.CallError{Effect: traffic.EffectNotSent, Err: errBudget}
-	}
 	had := n.sent[up.ID]
 	n.sends++
 	n.sent[up.ID] = true
--- a/dispatch/generate_test.go
+++ b/dispatch/generate_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -119,3 +120,37 @@
 		}
 	})
 }
+
+// A prompt whose request missed the engine it was meant for is not read again.
+func TestPromptGoesToAnotherEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.catalog.Apply(withHandleLife(f.catalog.Config(), 500*time.Millisecond), "test")
+		missed := false
+		f.stream = func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) {
+			if !missed {
+				missed = true
+				return nil, errMisdirected
+			}
+			return newFakeStream(3, nil), nil
+		}
+		caller := f.serve("/draft/x", &fakeCaller{})
+		if !caller.started || f.count("prefill") != 1 || f.count("stream") != 2 || f.count("drop prompt") != 0 {
+			t.Fatalf("refusal %v, calls %v", caller.refusal, f.calls)
+		}
+	})
+}
+
+// withHandleLife returns the next version of a configuration with another life of
+// read prompts.
+func withHandleLife(config *traffic.Config, life time.Duration) *traffic.Config {
+	next := *config
+	next.Version++
+	next.Services = maps.Clone(config.Services)
+	service := next.Services[testService]
+	engine := *service.Engine
+	engine.HandleLife = life
+	service.Engine = &engine
+	next.Services[testService] = service
+	return &next
+}
