Give an empty engine to any request that fits, refuse at once one that cannot

The spare could keep large requests from engines of small memory for good; found by reading. Test: TestLargestRequests.

--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -305,7 +305,7 @@
 	g.counts.prefill.Record(took)
 	t.end(g.outcomeOf(ctx, &traffic.Answer{}, err), took, time.Now())
 	if err == nil {
-		g.readers.read(n.service, n.req.PromptTokens, took, time.Now())
+		g.readers.read(n.service, n.req.PromptTokens, took)
 	}
 	return prompt, err
 }
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -36,12 +36,14 @@
 	// serveTime is the time from a place to the first event: reading a prompt and
 	// the first step.
 	serveTime = 250 * time.Millisecond
-	// silentPatience is the longest time without an answer after which callers still
-	// wait: they leave a stream that is silent for four times its target, but not
-	// before 2 s.
-	silentPatience = 4
-	leastPatience  = 2 * time.Second
-	patienceMargin = 2 * time.Second
+	// patience is how long a request waits for a place, in targets of its route:
+	// callers leave a stream that is silent for four.
+	patience = 2
+	// defaultTarget stands for a route that names none.
+	defaultTarget = time.Second
+	// burstRetry is when a caller should come back after it got no place: bursts last
+	// a few seconds.
+	burstRetry = 3 * time.Second
 	// lateSpare is the memory that must stay free on an engine where a request gets
 	// a place which can no longer be on time, so that it takes none from those that
 	// can: room for this many requests of its size.
@@ -117,12 +119,20 @@
 // acquire reserves a place, or returns why there is none.
 func (p *places) acquire(ctx context.Context, f *flight) (*traffic.Reservation, *domain.Refusal) {
 	q := p.queue(f.service)
+	if f.engine.MemoryTokens > 0 && reserveTokens(f.req) > f.engine.MemoryTokens {
+		return nil, domain.Refuse(domain.RefusalTooLarge, "the request is larger than the memory of an engine",
+			"send a shorter prompt or ask for less output")
+	}
+	target := f.route.Target
+	if target <= 0 {
+		target = defaultTarget
+	}
 	w := &waiter{
 		arrived: f.req.Arrived,
-		onTime:  f.req.Arrived.Add(f.route.Target - serveTime),
+		onTime:  f.req.Arrived.Add(target - serveTime),
 		wake:    make(chan struct{}, 1),
 	}
-	giveUp := f.req.Arrived.Add(max(leastPatience, silentPatience*f.route.Target) - patienceMargin)
+	giveUp := f.req.Arrived.Add(patience * target)
 	q.join(w)
 	defer q.leave(w)
 	for {
@@ -224,12 +234,13 @@
 // try asks a few engines for a place, the least busy first.
 func (p *places) try(ctx context.Context, f *flight, q *placeQueue, now time.Time, late bool) *traffic.Reservation {
 	g := p.gate
-	tokens := reserveTokens(f.req)
+	needed := reserveTokens(f.req)
 	spare := int(growthSpare * float64(f.req.MaxOutput))
 	if late {
-		spare = int(lateSpare * float64(tokens))
+		spare = lateSpare * needed
 	}
-	tokens += spare
+	// An empty engine takes every request that fits.
+	tokens := max(needed, min(needed+spare, f.engine.MemoryTokens))
 	open := g.candidates(f.service, now, func(up *traffic.Upstream) bool {
 		return up.Role == domain.RoleDecode && f.maySend(up) && !q.isFull(up.ID, tokens, now)
 	})
@@ -242,7 +253,7 @@
 			// Only the check of the spare was wanted. The engine must have it back
 			// before the place is taken, or the two together need too much.
 			g.cfg.Upstreams.DropReservation(ctx, r)
-			r, err = g.reserve(ctx, f, up, reserveTokens(f.req), life)
+			r, err = g.reserve(ctx, f, up, needed, life)
 		}
 		if err == nil {
 			return r
@@ -291,5 +302,5 @@
 	waiting := len(q.waiting)
 	q.mu.Unlock()
 	return domain.Refuse(domain.RefusalOverloaded, "no place on a decode engine became free",
-		"try again after the stated time").After(3*time.Second + time.Duration(waiting)*pollGap)
+		"try again after the stated time").After(burstRetry + time.Duration(waiting)*pollGap)
 }
--- a/dispatch/places_test.go
+++ b/dispatch/places_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"greengagespoke/domain"
 	"greengagespoke/traffic"
 )
 
@@ -105,3 +106,27 @@
 	}
 	return s.fakeStream.Next(wait)
 }
+
+// The spare never keeps a request that fits from an empty engine, and one that
+// cannot fit is refused at once.
+func TestLargestRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		memory := &engineMemory{capacity: testMemory, run: time.Second}
+		f.share(memory)
+		req := newRequest("/draft/x")
+		req.PromptTokens = testMemory - 300
+		caller := &fakeCaller{}
+		f.gate.Serve(context.Background(), req, caller)
+		if !caller.started {
+			t.Fatalf("a request that fits an empty engine was refused: %v", caller.refusal)
+		}
+		req = newRequest("/draft/x")
+		req.PromptTokens = testMemory + 1
+		caller = &fakeCaller{}
+		f.gate.Serve(context.Background(), req, caller)
+		if caller.refusal == nil || caller.refusal.Ran != domain.RanNo || time.Since(req.Arrived) > 0 {
+			t.Fatalf("refusal %v after %s, want one at once", caller.refusal, time.Since(req.Arrived))
+		}
+	})
+}
--- a/dispatch/readers.go
+++ b/dispatch/readers.go
@@ -30,7 +30,7 @@
 func newReaders() *readers { return &readers{rates: make(map[traffic.ServiceName]float64)} }
 
 // read takes how long a prompt took to be read.
-func (r *readers) read(service traffic.ServiceName, tokens int, took time.Duration, _ time.Time) {
+func (r *readers) read(service traffic.ServiceName, tokens int, took time.Duration) {
 	if tokens <= 0 || took <= 0 {
 		return
 	}
