--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -56,20 +56,27 @@
 	// drainLimit and answerLife are settings that may change while the host runs.
 	drainLimit atomic.Int64
 	answerLife atomic.Int64
-	budget     *dispatch.Budget
-	catalog    *catalog.Catalog
-	members    *membership.Membership
-	hosts      *registry.Hosts
-	source     *registry.Source
-	registry   *registry.Registry
-	upstreams  *upstream.Client
-	gate       *dispatch.Gate
-	exchange   *registry.ConfigPeers
-	app        *kratos.App
-	leaving    atomic.Bool
-	refusing   atomic.Bool
-	inFlight   atomic.Int64
-	registered context.CancelFunc
+
+	// What the host believes, and where from.
+	catalog  *catalog.Catalog
+	members  *membership.Membership
+	hosts    *registry.Hosts
+	source   *registry.Source
+	registry *registry.Registry
+	exchange *registry.ConfigPeers
+
+	// What serves requests.
+	gate      *dispatch.Gate
+	budget    *dispatch.Budget
+	upstreams *upstream.Client
+	app       *kratos.App
+
+	// leaving says that callers should go elsewhere, refusing that new requests are
+	// refused.
+	leaving         atomic.Bool
+	refusing        atomic.Bool
+	inFlight        atomic.Int64
+	stopRegistering context.CancelFunc
 }
 
 // New returns a daemon for checked settings. Counters are shown on a port of the
@@ -158,7 +165,7 @@
 		return nil
 	})
 	registerCtx, cancel := context.WithCancel(loopCtx)
-	d.registered = cancel
+	d.stopRegistering = cancel
 	all.Go(func() error {
 		d.hosts.Register(registerCtx, false)
 		return nil
@@ -205,7 +212,10 @@
 	}
 	peers := khttp.NewServer(khttp.Address(d.settings.Peers), khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler {
-			return peerrpc.NewServer(peerrpc.ServerConfig{Gossip: d.members, Tables: d.exchange, Relay: d.source.Mirror(), Key: peerKey, ClockSkew: clockSkew, Counters: set})
+			return peerrpc.NewServer(peerrpc.ServerConfig{
+				Gossip: d.members, Tables: d.exchange, Relay: d.source.Mirror(),
+				Key: peerKey, ClockSkew: clockSkew, Counters: set,
+			})
 		}))
 	all := []kratosServer{
 		ingress.NewCallers(ingress.CallersConfig{
--- a/platformentry/stop.go
+++ b/platformentry/stop.go
@@ -30,7 +30,7 @@
 	began := time.Now()
 	d.leaving.Store(true)
 	klog.InfoS("host leaving", "host", d.settings.Host, "in flight", d.inFlight.Load())
-	d.registered()
+	d.stopRegistering()
 	d.members.Leave()
 	announced, cancel := context.WithTimeout(ctx, acceptFor)
 	defer cancel()
