Publish a batch of upstream changes once

Cause: each changed entry copied and sorted all upstreams for the readers. With 3,000 workers that start together a host did this 3,000 times.

Before: 105,192 bytes allocated for a change with 3,000 upstreams, 4,683 with 100. After: one copy for a batch; TestWorkForAChangeDoesNotGrowWithTheFleet failed before.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -55,17 +57,17 @@
 	c.Replace([]*traffic.Upstream{up("a", 1), up("b", 1)}, now)
 	c.RegistryLost()
 	c.RegistryRegained(now)
-	c.Remove("a", now)
-	c.Remove("b", now)
+	remove(c, "a", now)
+	remove(c, "b", now)
 	if n := len(c.Ready("s")); n != 2 {
 		t.Fatalf("%d upstreams right after the outage, want 2", n)
 	}
-	c.Put(up("a", 1))
+	put(c, up("a", 1))
 	c.ExpireLapsed(now.Add(reappearGrace))
 	if got := c.Ready("s"); len(got) != 1 || got[0].ID != "a" {
 		t.Fatalf("after the grace time %v, want a alone", got)
 	}
-	c.Remove("a", now.Add(reappearGrace))
+	remove(c, "a", now.Add(reappearGrace))
 	if n := len(c.Ready("s")); n != 0 {
 		t.Fatal("an upstream that left without an outage is still used")
 	}
@@ -76,11 +78,11 @@
 func TestEntriesThatGoRightAfterAnOutageAreNotKeptForLong(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New()
-	c.Put(up("a", 1))
+	put(c, up("a", 1))
 	c.RegistryLost()
 	c.RegistryRegained(now)
 	removed := now.Add(500 * time.Millisecond)
-	c.Remove("a", removed)
+	remove(c, "a", removed)
 	if len(c.Ready("s")) != 1 {
 		t.Fatal("dropped at once")
 	}
@@ -93,25 +95,54 @@
 func TestDrainingAndRestartedUpstreamsAreNotCurrent(t *testing.T) {
 	c := New()
 	first := up("a", 1)
-	c.Put(first)
+	put(c, first)
 	if !c.Current(first) {
 		t.Fatal("a ready upstream is not current")
 	}
-	c.Put(up("a", 2))
+	put(c, up("a", 2))
 	if c.Current(first) {
 		t.Fatal("the former life of a restarted upstream is current")
 	}
 	leaving := up("a", 2)
 	leaving.State = traffic.UpstreamDraining
-	c.Put(leaving)
+	put(c, leaving)
 	if c.Current(leaving) || len(c.Ready("s")) != 0 {
 		t.Fatal("a draining upstream takes new work")
 	}
 	// One that drains is not kept beyond its entry, not even after an outage.
 	c.RegistryLost()
 	c.RegistryRegained(time.Unix(5, 0))
-	c.Remove("a", time.Unix(5, 0))
+	remove(c, "a", time.Unix(5, 0))
 	if c.Known(leaving) {
 		t.Fatal("a drained upstream was kept")
 	}
 }
+
+func put(c *Catalog, u *traffic.Upstream) {
+	c.Change([]traffic.UpstreamChange{{ID: u.ID, Upstream: u}}, time.Now())
+}
+
+func remove(c *Catalog, id domain.UpstreamID, now time.Time) {
+	c.Change([]traffic.UpstreamChange{{ID: id}}, now)
+}
+
+// When a large fleet starts, entries come by the thousand. The work for each must
+// not grow with the number of upstreams.
+func TestWorkForAChangeDoesNotGrowWithTheFleet(t *testing.T) {
+	perChange := func(upstreams int) float64 {
+		changes := make([]traffic.UpstreamChange, upstreams)
+		for i := range changes {
+			u := up(domain.UpstreamID(fmt.Sprintf("u%05d", i)), 1)
+			changes[i] = traffic.UpstreamChange{ID: u.ID, Upstream: u}
+		}
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		New().Change(changes, time.Now())
+		runtime.ReadMemStats(&after)
+		return float64(after.TotalAlloc-before.TotalAlloc) / float64(upstreams)
+	}
+	small, large := perChange(100), perChange(3000)
+	if large > 3*small {
+		t.Errorf("%.0f bytes allocated for a change with 3,000 upstreams, %.0f with 100", large, small)
+	}
+}
--- a/catalog/upstreams.go
+++ b/catalog/upstreams.go
@@ -78,11 +78,18 @@
 	}
 }
 
-// Put takes the entry of an upstream.
-func (c *Catalog) Put(u *traffic.Upstream) {
+// Change takes changes of entries in order. Around an outage of the registry the
+// entry of a live upstream ends and comes back, so it is kept for a while.
+func (c *Catalog) Change(changes []traffic.UpstreamChange, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.put(u)
+	for _, change := range changes {
+		if change.Upstream == nil {
+			c.remove(change.ID, now)
+		} else {
+			c.put(change.Upstream)
+		}
+	}
 	c.publish()
 }
 
@@ -96,15 +103,6 @@
 	}
 }
 
-// Remove takes the end of an upstream's entry. Around an outage of the registry
-// the entry of a live upstream lapses and comes back, so it is kept for a while.
-func (c *Catalog) Remove(id domain.UpstreamID, now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.remove(id, now)
-	c.publish()
-}
-
 func (c *Catalog) remove(id domain.UpstreamID, now time.Time) {
 	u, known := c.members.known[id]
 	if !known {
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -238,7 +238,9 @@
 }
 
 func (f *fixture) add(id domain.UpstreamID, service traffic.ServiceName, role domain.Role) {
-	f.catalog.Put(&traffic.Upstream{ID: id, Service: service, Address: "10.0.0.1:1", Zone: testZone, Role: role, Slots: 6})
+	f.catalog.Change([]traffic.UpstreamChange{{ID: id, Upstream: &traffic.Upstream{
+		ID: id, Service: service, Address: "10.0.0.1:1", Zone: testZone, Role: role, Slots: 6,
+	}}}, time.Now())
 }
 
 // serve plays one request to its end.
--- a/traffic/upstream.go
+++ b/traffic/upstream.go
@@ -40,3 +40,10 @@
 func (u *Upstream) Incarnation() Incarnation {
 	return Incarnation{ID: u.ID, Address: u.Address, Born: u.Born}
 }
+
+// UpstreamChange is a change of one entry of the registry.
+type UpstreamChange struct {
+	ID domain.UpstreamID
+	// Upstream is nil where the entry ended.
+	Upstream *Upstream
+}
