--- a/storerelay/choose.go
+++ b/storerelay/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,40 +14,61 @@
 	// smallFleet is the number of hosts up to which all of them read the store: the
 	// calls cost less than the hop.
 	smallFleet = 16
-	// readersPerZone is the number of hosts of an availability zone that read the
-	// store in a large fleet: one, and one for the case that it fails.
-	readersPerZone = 2
+	// hostsPerReader is the number of hosts of an availability zone for which one of
+	// them reads the store: it answers each once or twice a second.
+	hostsPerReader = 40
+	// fewestZones is the number of zones from which on one reader a zone is enough,
+	// as readers of other zones stand in for it.
+	fewestZones = 2
 )
 
 // Large reports whether a fleet is so large that its hosts relay the store.
 func Large(hosts int) bool { return hosts > smallFleet }
 
 // Readers returns the other hosts that relay the store to this one, the preferred
-// one first, or direct true where this host reads the store itself.
+// one first, or direct true where this host reads the store itself. The first ones
+// are of its zone, the last one is of another.
 func Readers(self domain.HostID, members []domain.Member) (readers []domain.HostID, direct bool) {
 	i := slices.IndexFunc(members, func(m domain.Member) bool { return m.ID == self })
 	if !Large(len(members)) || i < 0 {
 		return nil, true
 	}
-	var near []domain.HostID
+	zones := make(map[domain.Zone][]domain.HostID)
 	for _, m := range members {
-		if m.Zone == members[i].Zone && (m.ID == self || m.State == domain.MemberAlive && m.Incarnation > 0) {
-			near = append(near, m.ID)
+		if m.ID == self || m.State == domain.MemberAlive && m.Incarnation > 0 {
+			zones[m.Zone] = append(zones[m.Zone], m.ID)
 		}
 	}
-	if len(near) <= readersPerZone {
+	own := members[i].Zone
+	near := chosen(zones[own], len(zones))
+	if len(near) == 0 || slices.Contains(near, self) {
 		return nil, true
 	}
-	slices.SortFunc(near, func(a, b domain.HostID) int {
-		return cmp.Compare(xxhash.Sum64String(string(a)), xxhash.Sum64String(string(b)))
-	})
-	near = near[:readersPerZone]
-	if slices.Contains(near, self) {
-		return nil, true
+	// The hosts of a zone spread over its readers.
+	turn := int(position(self) % uint64(len(near)))
+	readers = append(slices.Clone(near[turn:]), near[:turn]...)
+	if far, ok := nextZone(own, zones); ok {
+		readers = append(readers, chosen(zones[far], len(zones))[0])
 	}
-	// Half of the zone's hosts ask each reader first.
-	if xxhash.Sum64String(string(self))%2 == 1 {
-		slices.Reverse(near)
+	return readers, false
+}
+
+// chosen returns the hosts of a zone that read the store.
+func chosen(hosts []domain.HostID, zones int) []domain.HostID {
+	n := (len(hosts) + hostsPerReader - 1) / hostsPerReader
+	if zones < fewestZones {
+		n = max(n, fewestZones)
 	}
-	return near, false
+	slices.SortFunc(hosts, func(a, b domain.HostID) int { return cmp.Compare(position(a), position(b)) })
+	return hosts[:min(n, len(hosts))]
 }
+
+// nextZone returns the zone after one in a ring of all zones.
+func nextZone(own domain.Zone, zones map[domain.Zone][]domain.HostID) (domain.Zone, bool) {
+	names := slices.Sorted(maps.Keys(zones))
+	i := slices.Index(names, own)
+	next := names[(i+1)%len(names)]
+	return next, next != own
+}
+
+func position(id domain.HostID) uint64 { return xxhash.Sum64String(string(id)) }
