Ask prefill engines whether they are idle

An engine's memory in use tells at once, by a reservation.

A sequence of calls that a test expects has grown by the question.

--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -14,6 +14,7 @@
 	defGone     = counters.Define("dispatch_gone", "requests whose caller left")
 	defReserves = counters.Define("dispatch_reserves", "reservations that were asked for")
 	defFull     = counters.Define("dispatch_reserves_rejected", "reservations that were rejected")
+	defBusy     = counters.Define("dispatch_prefill_busy", "prefill engines that were asked and were not idle")
 	defWait     = counters.Define("dispatch_wait_ms", "time from the arrival of a generation to its place, in milliseconds")
 	defPrefill  = counters.Define("dispatch_prefill_ms", "time to have a prompt read, in milliseconds")
 	defCall     = counters.Define("dispatch_call_ms", "time of a plain call at its upstream, in milliseconds")
@@ -21,8 +22,8 @@
 )
 
 type counts struct {
-	refused, answered, repeated, broken, gone, reserves, full, vain *expvar.Int
-	wait, prefill, call                                             *counters.Histogram
+	refused, answered, repeated, broken, gone, reserves, full, vain, busyReaders *expvar.Int
+	wait, prefill, call                                                          *counters.Histogram
 }
 
 func newCounts(set *counters.Set) counts {
@@ -30,6 +31,7 @@
 		refused: set.Int(defRefused), answered: set.Int(defAnswered), repeated: set.Int(defRepeated),
 		broken: set.Int(defBroken), gone: set.Int(defGone),
 		reserves: set.Int(defReserves), full: set.Int(defFull), vain: set.Int(defVain),
-		wait: set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
+		busyReaders: set.Int(defBusy),
+		wait:        set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
 	}
 }
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -30,10 +30,12 @@
 	mu    sync.Mutex
 	calls []string
 
-	call    func(up *traffic.Upstream) (*traffic.Answer, error)
+	call func(up *traffic.Upstream) (*traffic.Answer, error)
+	// reserve is asked at decode engines, idle at prefill engines.
 	reserve func(up *traffic.Upstream, tokens int) error
+	idle    func(up *traffic.Upstream, tokens int) error
 	prefill func(up *traffic.Upstream) error
-	// dropped is told the tokens of each reservation that is given back.
+	// dropped is told the tokens of each reservation that a decode engine gets back.
 	dropped func(tokens int)
 	stream  func(up *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error)
 }
@@ -42,6 +44,7 @@
 	return &world{
 		call:    func(*traffic.Upstream) (*traffic.Answer, error) { return &traffic.Answer{Status: 200}, nil },
 		reserve: func(*traffic.Upstream, int) error { return nil },
+		idle:    func(*traffic.Upstream, int) error { return nil },
 		prefill: func(*traffic.Upstream) error { return nil },
 		stream: func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) {
 			return newFakeStream(3, nil), nil
@@ -81,7 +84,11 @@
 
 func (w *world) Reserve(_ context.Context, up *traffic.Upstream, tokens int, _ time.Duration) (*traffic.Reservation, error) {
 	w.note("reserve %s", up.ID)
-	if err := w.reserve(up, tokens); err != nil {
+	ask := w.reserve
+	if up.Role == domain.RolePrefill {
+		ask = w.idle
+	}
+	if err := ask(up, tokens); err != nil {
 		return nil, err
 	}
 	return &traffic.Reservation{Engine: up, ID: "r", Tokens: tokens}, nil
@@ -102,7 +109,7 @@
 
 func (w *world) DropReservation(_ context.Context, r *traffic.Reservation) {
 	w.note("drop place %s", r.Engine.ID)
-	if w.dropped != nil {
+	if w.dropped != nil && r.Engine.Role == domain.RoleDecode {
 		w.dropped(r.Tokens)
 	}
 }
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -268,7 +268,7 @@
 		engines := g.candidates(n.service, time.Now(), func(up *traffic.Upstream) bool {
 			return up.Role == domain.RolePrefill && !tried[up.ID]
 		})
-		up, delay := g.readers.pick(engines, place.Engine.Zone)
+		up, delay := g.reader(ctx, n, engines, place.Engine.Zone)
 		if up == nil || !g.mayCall(n, n.prefills) {
 			return nil
 		}
--- a/dispatch/generate_test.go
+++ b/dispatch/generate_test.go
@@ -23,8 +23,9 @@
 		for _, c := range f.calls {
 			order = append(order, strings.Fields(c)[0])
 		}
-		// The first reservation only checks that memory stays free for growth.
-		if want := []string{"reserve", "drop", "reserve", "prefill", "stream"}; !slices.Equal(order, want) {
+		// The first reservation only checks that memory stays free for growth, the
+		// third that the prefill engine is idle.
+		if want := []string{"reserve", "drop", "reserve", "reserve", "drop", "prefill", "stream"}; !slices.Equal(order, want) {
 			t.Fatalf("calls %v, want %v", f.calls, want)
 		}
 	})
--- a/dispatch/readers.go
+++ b/dispatch/readers.go
@@ -1,10 +1,14 @@
 package dispatch
 
 import (
+	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"greengagespoke/domain"
 	"greengagespoke/traffic"
 )
@@ -19,6 +23,19 @@
 	rateFade = 0.995
 )
 
+const (
+	// idleTokens is the memory that an idle prefill engine may have in use: less than
+	// a prompt of the users' model services.
+	idleTokens = 2000
+	// idleTries bounds the engines that are asked whether they are idle.
+	idleTries = 6
+	// idleTimeout bounds the call that asks: a few round trips between zones.
+	idleTimeout = 50 * time.Millisecond
+	// idleLife is the life of the reservation that asks, in case it is not given
+	// back.
+	idleLife = 100 * time.Millisecond
+)
+
 // readers decides which engine reads a prompt. It learns how fast prompts are read
 // without a queue.
 type readers struct {
@@ -67,3 +84,40 @@
 	}
 	return best, delay
 }
+
+// reader returns the prefill engine that reads a prompt soonest, and the delay to
+// expect. Hosts do not know of each other's prompts, so it asks the engines: one has
+// room for a reservation of nearly all its memory while it reads no prompt.
+func (g *Gate) reader(ctx context.Context, n *generation, engines []candidate, zone domain.Zone) (*traffic.Upstream, time.Duration) {
+	best, delay := g.readers.pick(engines, zone)
+	open := slices.Clone(engines)
+	for range min(idleTries, len(engines)) {
+		up, expected := g.readers.pick(open, zone)
+		if g.isIdle(ctx, n, up) {
+			return up, expected
+		}
+		if ctx.Err() != nil {
+			return nil, 0
+		}
+		open = slices.DeleteFunc(open, func(c candidate) bool { return c.up == up })
+	}
+	return best, delay
+}
+
+// isIdle asks a prefill engine for nearly all its memory and gives it back at once.
+func (g *Gate) isIdle(ctx context.Context, n *generation, up *traffic.Upstream) bool {
+	tokens := n.engine.MemoryTokens - idleTokens
+	if tokens <= 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, idleTimeout)
+	defer cancel()
+	r, err := g.cfg.Upstreams.Reserve(ctx, up, tokens, idleLife)
+	if err != nil {
+		g.counts.busyReaders.Add(1)
+		klog.V(1).InfoS("prefill engine not idle", "request", n.req.ID, "upstream", up.ID, "err", err)
+		return false
+	}
+	g.cfg.Upstreams.DropReservation(ctx, r)
+	return true
+}
