--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -12,6 +12,7 @@
 	"greengagespoke/catalog"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/stages"
 )
 
 const (
@@ -32,6 +33,8 @@
 	Upstreams traffic.Upstreams
 	Budget    *Budget
 	Counters  *counters.Set
+	// Loads learns what requests need of their engines.
+	Loads *stages.Loads
 	// Leaving says that the host takes no new work.
 	Leaving func() bool
 }
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -40,6 +40,8 @@
 	// mayRun says that some engine may have run the request.
 	mayRun bool
 	events int
+	// placed is when the request got its place.
+	placed time.Time
 	// last is the engine that streamed last. It keeps the prompt for a while.
 	last *traffic.Upstream
 	// kept is a prompt that was read at readAt and not used yet.
@@ -109,8 +111,8 @@
 	if refusal != nil {
 		return refusal
 	}
-	placed := time.Now()
-	g.counts.wait.Record(placed.Sub(n.req.Arrived))
+	n.placed = time.Now()
+	g.counts.wait.Record(n.placed.Sub(n.req.Arrived))
 	t := g.tracks.of(place.Engine)
 	t.begin()
 	result := outcomeNone
@@ -133,7 +135,7 @@
 	n.mayRun, n.last = true, place.Engine
 	defer stream.Close()
 	klog.InfoS("stream started", "request", n.req.ID, "decode", place.Engine.ID, "prefill", promptEngine(prompt),
-		"waited", placed.Sub(n.req.Arrived).Round(time.Millisecond), "read", read.Sub(placed).Round(time.Millisecond),
+		"waited", n.placed.Sub(n.req.Arrived).Round(time.Millisecond), "read", read.Sub(n.placed).Round(time.Millisecond),
 		"reserved", place.Tokens, "version", n.version)
 	result, refusal = g.relayed(ctx, n, place, g.relay(ctx, n, stream))
 	return refusal
@@ -165,6 +167,7 @@
 	switch {
 	case err == nil:
 		g.counts.answered.Add(1)
+		g.cfg.Loads.Served(n.service, n.req.PromptTokens, place.Tokens, time.Since(n.placed))
 		klog.InfoS("stream ended", "request", n.req.ID, "decode", place.Engine.ID, "events", n.events,
 			"prompt", n.req.PromptTokens, "max output", n.req.MaxOutput, "hint", n.req.OutputHint, "reserved", place.Tokens,
 			"took", time.Since(n.req.Arrived).Round(time.Millisecond))
@@ -306,6 +309,7 @@
 	t.end(g.outcomeOf(ctx, &traffic.Answer{}, err), took, time.Now())
 	if err == nil {
 		g.readers.read(n.service, n.req.PromptTokens, took)
+		g.cfg.Loads.Read(n.service, n.req.PromptTokens, took)
 	}
 	return prompt, err
 }
--- a/dispatch/track.go
+++ b/dispatch/track.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"greengagespoke/traffic"
-
+	"greengagespoke/domain"
 	"greengagespoke/internal/shard"
+	"greengagespoke/traffic"
 )
 
 const (
@@ -44,7 +44,14 @@
 	outcomeNone
 )
 
-// track is what this host has seen of one life of an upstream.
+// trackKey names one life of an upstream in one role: an engine that changes its
+// role rejects calls meanwhile, which tells nothing of the time after.
+type trackKey struct {
+	life traffic.Incarnation
+	role domain.Role
+}
+
+// track is what this host has seen of one life of an upstream in one role.
 type track struct {
 	mu sync.Mutex
 	// active is the number of calls under way.
@@ -60,16 +67,16 @@
 
 // tracks holds the track of each upstream.
 type tracks struct {
-	byLife *shard.Map[traffic.Incarnation, *track]
+	byKey *shard.Map[trackKey, *track]
 }
 
 func newTracks() tracks {
-	return tracks{byLife: shard.NewMap[traffic.Incarnation, *track]()}
+	return tracks{byKey: shard.NewMap[trackKey, *track]()}
 }
 
 func (t tracks) of(up *traffic.Upstream) *track {
 	var found *track
-	t.byLife.Update(up.Incarnation(), func(known *track, ok bool) (*track, bool) {
+	t.byKey.Update(trackKey{up.Incarnation(), up.Role}, func(known *track, ok bool) (*track, bool) {
 		if !ok {
 			known = &track{}
 		}
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -29,6 +29,7 @@
 	"greengagespoke/platform/store"
 	"greengagespoke/platform/tcp"
 	"greengagespoke/platform/upstream"
+	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
 
@@ -44,6 +45,8 @@
 	// clockSkew is what the wall clocks of two hosts may differ by: the platform's
 	// clocks jump, and liveness must not depend on them.
 	clockSkew = 365 * 24 * time.Hour
+	// stagesDuty is the name of the duty to change the roles of engines.
+	stagesDuty = "engine-roles"
 	// probePeriod is the time between two probes of a host. At 340 hosts it costs 3 KB
 	// a second, all that control may take.
 	probePeriod = 750 * time.Millisecond
@@ -72,6 +75,7 @@
 	gate      *dispatch.Gate
 	budget    *dispatch.Budget
 	upstreams *upstream.Client
+	balancer  *stages.Balancer
 	app       *kratos.App
 
 	// leaving says that callers should go elsewhere, refusing that new requests are
@@ -106,9 +110,14 @@
 	d.exchange.Bind(peers)
 	d.source.Bind(d.members.Members, peers.Relay)
 	d.catalog.OnApply(d.members.SetRevision)
+	loads := stages.NewLoads()
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: set, Leaving: d.refusing.Load,
-		Budget: d.budget,
+		Budget: d.budget, Loads: loads,
+	})
+	d.balancer = stages.New(stages.Config{
+		Self: s.Host, Services: d.modelServices, Members: d.members.Members, Loads: loads,
+		Duty: registry.NewDuty(client, stagesDuty, s.Host, s.Lease), Engines: d.upstreams, Ready: d.ready,
 	})
 	d.app = kratos.New(
 		kratos.ID(string(s.Host)), kratos.Name(appName), kratos.Server(d.listeners(set, metricsPort)...),
@@ -163,6 +172,9 @@
 	all.Go(func() error { return d.registry.Run(loopCtx) })
 	all.Go(func() error { return d.upstreams.Run(loopCtx) })
 	all.Go(func() error { return d.members.Run(loopCtx) })
+	if d.settings.Lease > 0 {
+		all.Go(func() error { return d.balancer.Run(loopCtx) })
+	}
 	all.Go(func() error {
 		d.followSettings(loopCtx)
 		return nil
@@ -189,6 +201,21 @@
 	return err
 }
 
+// modelServices returns the services with model engines, with those that take work.
+func (d *Daemon) modelServices() []stages.Service {
+	config := d.catalog.Config()
+	if config == nil {
+		return nil
+	}
+	var out []stages.Service
+	for name, s := range config.Services {
+		if s.Engine != nil {
+			out = append(out, stages.Service{Name: name, MemoryTokens: s.Engine.MemoryTokens, Engines: d.catalog.Ready(name)})
+		}
+	}
+	return out
+}
+
 // ready reports whether the host takes new callers.
 func (d *Daemon) ready() bool { return !d.leaving.Load() && d.catalog.Config() != nil }
 
--- a/platformentry/fixture_test.go
+++ b/platformentry/fixture_test.go
@@ -99,7 +99,7 @@
 		Host: hostID(name), Zone: zoneID(zone), StoreAddress: s.store.Address(), IP: "127.0.0.1",
 		Callers: freeAddress(s.t), Ready: freeAddress(s.t), Directory: freeAddress(s.t), Peers: freeAddress(s.t),
 		DrainLimit: 8 * time.Second, AnswerLife: 5 * time.Second,
-		RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second,
+		RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second, Lease: 3 * time.Second,
 	})
 }
 
--- a/platformentry/platform_test.go
+++ b/platformentry/platform_test.go
@@ -256,3 +256,32 @@
 		t.Fatal("the host did not end")
 	}
 }
+
+// Too many of a service's engines read prompts: one host changes some of them, each
+// once.
+func TestRolesOfEnginesAreBroughtIntoBalance(t *testing.T) {
+	s := newSite(t, 3)
+	var extra []*platformtest.Worker
+	for _, id := range []string{"pre-2", "pre-3", "pre-4", "pre-5"} {
+		w := platformtest.NewWorker(id, "models", "z-b", "prefill")
+		t.Cleanup(w.Close)
+		w.Register(s.store, "ready")
+		extra = append(extra, w)
+	}
+	ordered := func() []wire.Order {
+		var all []wire.Order
+		for _, w := range append(extra, s.workers["pre-1"]) {
+			if got := w.Orders(); len(got) > 1 {
+				t.Fatalf("%s got %d orders", w.ID, len(got))
+			}
+			all = append(all, w.Orders()...)
+		}
+		return all
+	}
+	s.await("an engine ordered", func() bool { return len(ordered()) > 0 })
+	for _, order := range ordered() {
+		if first := ordered()[0]; order.Holder != first.Holder || order.Fence != first.Fence || order.Stage != "decode" {
+			t.Fatalf("orders %+v", ordered())
+		}
+	}
+}
