--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -12,6 +12,7 @@
 	"greengagespoke/catalog"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
 
@@ -239,7 +240,7 @@
 	budget.Set(BudgetLimits{Ratio: 0.2, Extra: 58, Window: 10 * time.Second})
 	f.gate = NewGate(Config{
 		Zone: testZone, Catalog: f.catalog, Upstreams: f.world, Budget: budget,
-		Counters: counters.NewSet(), Leaving: func() bool { return f.leaving },
+		Counters: counters.NewSet(), Loads: stages.NewLoads(), Leaving: func() bool { return f.leaving },
 	})
 	return f
 }
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -61,6 +61,9 @@
 	route   *traffic.Route
 	service traffic.ServiceName
 	engine  *traffic.Engine
+	// needed is since when the request needs a place on an engine: its arrival, or
+	// when its stream broke.
+	needed time.Time
 	// final is when the caller must have an answer.
 	final time.Time
 	// version is the configuration's that chose the route.
@@ -79,7 +82,7 @@
 	}
 	f := &flight{
 		req: req, route: route, service: chooseService(route), version: config.Version,
-		final: req.Deadline, sent: make(map[domain.UpstreamID]bool), tried: make(map[domain.UpstreamID]bool),
+		needed: req.Arrived, final: req.Deadline, sent: make(map[domain.UpstreamID]bool), tried: make(map[domain.UpstreamID]bool),
 	}
 	if limit := req.Arrived.Add(route.Timeout); route.Timeout > 0 && limit.Before(f.final) {
 		f.final = limit
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -176,6 +176,7 @@
 		return outcomeNone, n.ended(ctx)
 	default:
 		klog.InfoS("stream lost", "request", n.req.ID, "decode", place.Engine.ID, "events", n.events, "err", err)
+		n.needed = time.Now()
 		return outcomeBroken, n.failed("the stream of " + string(place.Engine.ID) + " broke")
 	}
 }
--- a/dispatch/generate_test.go
+++ b/dispatch/generate_test.go
@@ -95,6 +95,48 @@
 	})
 }
 
+// Engines crash while the others are full (incident 91a0 of grown sine). A stream that
+// has run for long waits for a place from the break on, not from its arrival.
+func TestBrokenStreamWaitsForAPlaceFromTheBreakOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ran, full = 5 * time.Second, 500 * time.Millisecond
+		f := newFixture(t, 1)
+		began := time.Now()
+		f.reserve = func(*traffic.Upstream, int) error {
+			if since := time.Since(began); since >= ran && since < ran+full {
+				return errRejected
+			}
+			return nil
+		}
+		f.stream = func(_ *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error) {
+			if opts.Resume {
+				return &fakeStream{next: 3, last: 4}, nil
+			}
+			return &lateBreak{fakeStream: newFakeStream(2, errReset), at: began.Add(ran)}, nil
+		}
+		caller := f.serve("/resume/x", &fakeCaller{})
+		if want := []string{"1", "2", "3", "4"}; !slices.Equal(caller.events, want) || caller.aborted {
+			t.Fatalf("events %v aborted %v, want %v", caller.events, caller.aborted, want)
+		}
+		if gap := time.Since(began) - ran; gap > time.Second {
+			t.Fatalf("the stream went on after %s, want about %s", gap, full)
+		}
+	})
+}
+
+// lateBreak gives its events at once and breaks at a time.
+type lateBreak struct {
+	*fakeStream
+	at time.Time
+}
+
+func (s *lateBreak) Next(wait time.Duration) (traffic.Event, error) {
+	if s.next > s.last {
+		time.Sleep(time.Until(s.at))
+	}
+	return s.fakeStream.Next(wait)
+}
+
 func TestGenerationThatMayHaveRunIsNotSentAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 1)
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -129,10 +129,10 @@
 	}
 	w := &waiter{
 		arrived: f.req.Arrived,
-		onTime:  f.req.Arrived.Add(target - serveTime),
+		onTime:  f.needed.Add(target - serveTime),
 		wake:    make(chan struct{}, 1),
 	}
-	giveUp := f.req.Arrived.Add(patience * target)
+	giveUp := f.needed.Add(patience * target)
 	q.join(w)
 	defer q.leave(w)
 	for {
--- a/dispatch/readers_test.go
+++ b/dispatch/readers_test.go
@@ -13,6 +13,7 @@
 	"greengagespoke/catalog"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
 
@@ -117,6 +118,6 @@
 	budget.Set(BudgetLimits{Ratio: 0.2, Extra: 58, Window: 10 * time.Second})
 	return NewGate(Config{
 		Zone: testZone, Catalog: c, Upstreams: w, Budget: budget,
-		Counters: counters.NewSet(), Leaving: func() bool { return false },
+		Counters: counters.NewSet(), Loads: stages.NewLoads(), Leaving: func() bool { return false },
 	})
 }
