--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -220,6 +220,9 @@
 			route("/once/", testPlain, traffic.NonIdempotent, 1),
 			route("/again/", testPlain, traffic.Idempotent, 2),
 			route("/draft/", testService, traffic.Streaming, 1),
+			// More attempts than one do not make a request repeatable.
+			route("/once-of-two/", testPlain, traffic.NonIdempotent, 2),
+			route("/draft-of-two/", testService, traffic.Streaming, 2),
 			resumable,
 		},
 		Services: map[traffic.ServiceName]traffic.Service{
--- a/dispatch/generate_test.go
+++ b/dispatch/generate_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,19 +37,25 @@
 // answers 421 to requests.
 func TestEngineThatWasReplacedIsNotAskedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
+		// The other engine is busy, which makes the replaced one look good.
+		const requests, gap, length = 40, 100 * time.Millisecond, 2 * time.Second
 		f := newFixture(t, 1)
 		f.stream = func(up *traffic.Upstream, _ traffic.SendOptions) (traffic.Stream, error) {
 			if up.ID == "d1" {
 				return nil, errMisdirected
 			}
-			return newFakeStream(3, nil), nil
-		}
-		for range 20 {
-			if caller := f.serve("/draft/x", &fakeCaller{}); !caller.started {
-				t.Fatalf("refused: %v", caller.refusal)
-			}
-			time.Sleep(100 * time.Millisecond)
+			return &lateEnd{fakeStream: newFakeStream(3, nil), at: time.Now().Add(length)}, nil
 		}
+		var all sync.WaitGroup
+		for range requests {
+			all.Go(func() {
+				if caller := f.serve("/draft/x", &fakeCaller{}); !caller.started {
+					t.Errorf("refused: %v", caller.refusal)
+				}
+			})
+			time.Sleep(gap)
+		}
+		all.Wait()
 		if got := f.count("stream d1"); got > 1 {
 			t.Fatalf("the replaced engine was asked %d times", got)
 		}
@@ -112,7 +119,7 @@
 			if opts.Resume {
 				return &fakeStream{next: 3, last: 4}, nil
 			}
-			return &lateBreak{fakeStream: newFakeStream(2, errReset), at: began.Add(ran)}, nil
+			return &lateEnd{fakeStream: newFakeStream(2, errReset), at: began.Add(ran)}, nil
 		}
 		caller := f.serve("/resume/x", &fakeCaller{})
 		if want := []string{"1", "2", "3", "4"}; !slices.Equal(caller.events, want) || caller.aborted {
@@ -124,13 +131,13 @@
 	})
 }
 
-// lateBreak gives its events at once and breaks at a time.
-type lateBreak struct {
+// lateEnd gives its events at once and ends at a time.
+type lateEnd struct {
 	*fakeStream
 	at time.Time
 }
 
-func (s *lateBreak) Next(wait time.Duration) (traffic.Event, error) {
+func (s *lateEnd) Next(wait time.Duration) (traffic.Event, error) {
 	if s.next > s.last {
 		time.Sleep(time.Until(s.at))
 	}
@@ -141,9 +148,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 1)
 		f.stream = func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) { return nil, errReset }
-		caller := f.serve("/draft/x", &fakeCaller{})
-		if caller.refusal == nil || caller.refusal.Ran != domain.RanUnknown || f.count("stream") != 1 {
-			t.Fatalf("refusal %v, calls %v", caller.refusal, f.calls)
+		for i, path := range []string{"/draft/x", "/draft-of-two/x"} {
+			caller := f.serve(path, &fakeCaller{})
+			if caller.refusal == nil || caller.refusal.Ran != domain.RanUnknown || f.count("stream") != i+1 {
+				t.Fatalf("%s: refusal %v, calls %v", path, caller.refusal, f.calls)
+			}
 		}
 	})
 }
--- a/dispatch/plain_test.go
+++ b/dispatch/plain_test.go
@@ -4,28 +4,32 @@
 	"testing"
 	"testing/synctest"
 
+	"greengagespoke/catalog"
 	"greengagespoke/domain"
 	"greengagespoke/traffic"
 )
 
 func TestNonIdempotentCallIsSentOnce(t *testing.T) {
 	for _, c := range []struct {
-		name string
-		err  error
-		ran  domain.Ran
-		sent int
+		name, path string
+		err        error
+		ran        domain.Ran
+		sent       int
 	}{
-		{"reset", errReset, domain.RanUnknown, 1},
-		{"silent", errSilent, domain.RanUnknown, 1},
-		{"rejected", errRejected, domain.RanNo, 1},
+		{"reset", "/once/x", errReset, domain.RanUnknown, 1},
+		{"silent", "/once/x", errSilent, domain.RanUnknown, 1},
+		{"rejected", "/once/x", errRejected, domain.RanNo, 1},
 		// Each of the two processes at the upstreams' addresses says it is another.
-		{"misdirected", errMisdirected, domain.RanNo, 2},
+		{"misdirected", "/once/x", errMisdirected, domain.RanNo, 2},
+		{"reset, two attempts", "/once-of-two/x", errReset, domain.RanUnknown, 1},
+		{"silent, two attempts", "/once-of-two/x", errSilent, domain.RanUnknown, 1},
+		{"rejected, two attempts", "/once-of-two/x", errRejected, domain.RanNo, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t, 1)
 				f.call = func(*traffic.Upstream) (*traffic.Answer, error) { return nil, c.err }
-				caller := f.serve("/once/x", &fakeCaller{})
+				caller := f.serve(c.path, &fakeCaller{})
 				if caller.refusal == nil || caller.refusal.Ran != c.ran {
 					t.Fatalf("refusal %v, want ran %s", caller.refusal, c.ran)
 				}
@@ -103,6 +107,12 @@
 	if caller := f.serve("/none/x", &fakeCaller{}); caller.refusal.Kind != domain.RefusalNoRoute {
 		t.Fatalf("refusal %v", caller.refusal)
 	}
+	unknown := newTestGate(f.world, catalog.New(), 1)
+	asked := &fakeCaller{}
+	unknown.Serve(t.Context(), newRequest("/once/x"), asked)
+	if asked.refusal == nil || asked.refusal.Kind != domain.RefusalStoreDown || asked.refusal.Ran != domain.RanNo {
+		t.Fatalf("without a configuration: refusal %v", asked.refusal)
+	}
 	f.leaving = true
 	if caller := f.serve("/once/x", &fakeCaller{}); caller.refusal.Kind != domain.RefusalLeaving || caller.refusal.Ran != domain.RanNo {
 		t.Fatalf("refusal %v", caller.refusal)
