--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -50,6 +50,8 @@
 	// prefills and sends count the calls that had the prompt read and those that
 	// asked for the stream.
 	prefills, sends int
+	// read says that an engine answered a call to read the prompt.
+	read bool
 }
 
 // generate serves a generation.
@@ -100,12 +102,17 @@
 	return false
 }
 
+// overBudget is the refusal of a request that must not be sent once more.
+func overBudget(n *generation) *domain.Refusal {
+	return domain.Refuse(domain.RefusalOverloaded, "the retry budget is used up",
+		"try again after the stated time").WithRan(n.ran()).After(busyRetry)
+}
+
 // attempt reserves a place, has the prompt read and relays the stream. It returns
 // nil where the caller has the whole answer or has left.
 func (g *Gate) attempt(ctx context.Context, n *generation) *domain.Refusal {
 	if n.sends > 0 && !g.mayCall(n, n.sends) {
-		return domain.Refuse(domain.RefusalOverloaded, "the retry budget is used up",
-			"try again after the stated time").WithRan(n.ran()).After(busyRetry)
+		return overBudget(n)
 	}
 	place, refusal := g.placeFor(ctx, n)
 	if refusal != nil {
@@ -126,6 +133,11 @@
 		g.dropPrompt(prompt)
 		return n.ended(ctx)
 	}
+	// The first call that had the prompt read is no repeat only where an engine read it.
+	if n.sends == 0 && !n.read && !g.mayCall(n, n.prefills) {
+		g.dropPlace(place)
+		return overBudget(n)
+	}
 	read := time.Now()
 	stream, err := g.open(ctx, n, place, prompt)
 	if err != nil {
@@ -272,6 +284,11 @@
 		engines := g.candidates(n.service, time.Now(), func(up *traffic.Upstream) bool {
 			return up.Role == domain.RolePrefill && !tried[up.ID]
 		})
+		if len(engines) > 0 && engines[0].health.out {
+			// All are out. Each would reject the call or fail, which the budget pays.
+			klog.InfoS("prompt left to the decode engine", "request", n.req.ID, "reason", "no prefill engine is sound")
+			return nil
+		}
 		up, delay := g.reader(ctx, n, engines, place.Engine.Zone)
 		if up == nil || !g.mayCall(n, n.prefills) {
 			return nil
@@ -284,6 +301,7 @@
 		n.prefills++
 		prompt, err := g.prefill(ctx, n, up)
 		if err == nil {
+			n.read = true
 			return prompt
 		}
 		klog.InfoS("prompt not read", "request", n.req.ID, "upstream", up.ID, "effect", asCallError(err).Effect, "err", err)
--- a/dispatch/generate_test.go
+++ b/dispatch/generate_test.go
@@ -82,6 +82,42 @@
 	})
 }
 
+// A call to read the prompt that an engine rejects is no free one: with the stream it
+// makes two arrivals.
+func TestRejectedPromptsStayWithinTheBudget(t *testing.T) {
+	for _, rejection := range []error{errRejected, errMisdirected} {
+		synctest.Test(t, func(t *testing.T) {
+			const hosts, requests = 9, 80
+			f := newFixture(t, hosts)
+			f.prefill = func(*traffic.Upstream) error { return rejection }
+			for range requests {
+				f.serve("/draft/x", &fakeCaller{})
+			}
+			repeats := f.count("prefill") + f.count("stream") - requests
+			if allowed := 0.2*requests + 58.0/hosts; float64(repeats) > allowed {
+				t.Errorf("%v: %d repeats, allowed %.1f", rejection, repeats, allowed)
+			}
+		})
+	}
+}
+
+// Where every prefill engine has been replaced, decode engines read prompts.
+func TestNoPromptIsSentWhereAllPrefillEnginesAreOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests = 20
+		f := newFixture(t, 1)
+		f.prefill = func(*traffic.Upstream) error { return errMisdirected }
+		for range requests {
+			if caller := f.serve("/draft/x", &fakeCaller{}); !caller.started {
+				t.Fatalf("refused: %v", caller.refusal)
+			}
+		}
+		if got := f.count("prefill"); got > 2 {
+			t.Fatalf("two replaced prefill engines were sent %d prompts", got)
+		}
+	})
+}
+
 func TestBrokenStreamGoesOnElsewhereOnlyWhereItMayBeResumed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 1)
--- a/platformentry/platform_test.go
+++ b/platformentry/platform_test.go
@@ -231,7 +231,8 @@
 func TestPlannedStopCutsNothingOff(t *testing.T) {
 	s := newSite(t, 2)
 	for _, id := range []string{"dec-1", "dec-2"} {
-		s.workers[id].SetStream(20, 100*time.Millisecond)
+		// Longer than a leaving host takes new requests.
+		s.workers[id].SetStream(25, 200*time.Millisecond)
 	}
 	leaving, other := s.hosts[0], s.hosts[1]
 	s.await("both hosts named", func() bool { return len(s.addresses(other)) == 2 })
@@ -244,7 +245,13 @@
 		t.Fatalf("a caller with an old address list was turned away: %+v", late)
 	}
 	s.await("no longer named", func() bool { return slices.Equal(s.addresses(other), []string{other.settings.Callers}) })
-	if draft := <-got; draft.err != nil || len(events(draft.body)) != 20 {
+	draft := <-got
+	select {
+	case <-leaving.done:
+		t.Fatal("the host ended before a stream")
+	default:
+	}
+	if draft.err != nil || len(events(draft.body)) != 25 {
 		t.Fatalf("the stop cut off a stream: %d events, %v", len(events(draft.body)), draft.err)
 	}
 	select {
