Pause before a keeper is asked again for a promised place

In virtual time no time passed, and the test did not end; the dump of the process shows the loop. TestPromisedPlaceIsAskedForNowAndThen: 1,001 questions in 300 ms before, within its bound after.

--- a/routing/fakes_test.go
+++ b/routing/fakes_test.go
@@ -68,8 +68,12 @@
 	pairs    [][2]domain.UpstreamID
 	refusal  *domain.Refusal
 	requests []domain.PlaceRequest
-	releases []domain.Release
-	lost     []domain.GrantID
+	// promiseUntil is until when it grants promises instead of free places, and
+	// mostPromises bounds them.
+	promiseUntil time.Time
+	mostPromises int
+	releases     []domain.Release
+	lost         []domain.GrantID
 }
 
 func (k *fakeKeeper) Acquire(_ context.Context, _ domain.GroupID, req domain.PlaceRequest) (domain.Grant, error) {
@@ -83,14 +87,19 @@
 	if len(k.pairs) > 1 {
 		k.pairs = k.pairs[1:]
 	}
+	var promise time.Duration
+	if time.Now().Before(k.promiseUntil) && len(k.requests) <= k.mostPromises {
+		promise = time.Until(k.promiseUntil)
+	}
 	return domain.Grant{
-		ID:      domain.GrantID(req.ID.Key().String()),
-		Request: req.ID,
-		Holder:  req.Holder,
-		Pool:    req.Pool,
-		Prefill: pair[0],
-		Decode:  pair[1],
-		Pieces:  req.Pieces(),
+		DecodeIn: promise,
+		ID:       domain.GrantID(req.ID.Key().String()),
+		Request:  req.ID,
+		Holder:   req.Holder,
+		Pool:     req.Pool,
+		Prefill:  pair[0],
+		Decode:   pair[1],
+		Pieces:   req.Pieces(),
 	}, nil
 }
 
--- a/routing/gate_test.go
+++ b/routing/gate_test.go
@@ -33,6 +33,25 @@
 	})
 }
 
+// A keeper may answer at once that a promised place is not free yet. The gate must not
+// ask again without a pause.
+func TestPromisedPlaceIsAskedForNowAndThen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const promised, most = 300 * time.Millisecond, 1000
+		r := newRig(t, testTokens, engine.FrameFaults{})
+		r.keeper.promiseUntil, r.keeper.mostPromises = time.Now().Add(promised), most
+		var a answer
+		if err := r.gate.Complete(t.Context(), request("r1", 1), a.deliver); err != nil {
+			t.Fatal(err)
+		}
+		a.checkWhole(t, testTokens)
+		settle(t, r)
+		if n := len(r.keeper.asked()); n > most/10 {
+			t.Fatalf("the keeper was asked %d times in %s", n, promised)
+		}
+	})
+}
+
 func TestFramesAreDeliveredOnceAndInOrder(t *testing.T) {
 	faults := engine.FrameFaults{LatePercent: 10, Late: 300 * time.Millisecond, DoubledPercent: 20, SwappedPercent: 20}
 	synctest.Test(t, func(t *testing.T) {
--- a/routing/promise.go
+++ b/routing/promise.go
@@ -34,6 +34,10 @@
 		if err := f.rebind(p, grant); err != nil {
 			return err
 		}
+		// Some keepers answer at once while the place is not free yet.
+		if grant.DecodeIn > 0 && !pause.For(ctx, importRetry) {
+			return f.transferEnded(ctx, *p)
+		}
 	}
 	return nil
 }
