--- a/membership/coverage_test.go
+++ b/membership/coverage_test.go
@@ -38,3 +38,22 @@
 		}
 	})
 }
+
+// A host ends just before its neighbor on the ring does. The first one is suspect for
+// seconds; the second one must not wait for that.
+func TestNeighborBehindASuspectIsProbed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, settle = 40, 30 * time.Second
+		c := newCluster(t, hosts)
+		time.Sleep(settle)
+		m := c.hosts[hostID(0)]
+		m.mu.Lock()
+		first, _ := m.neighbor()
+		m.records[first].member.State = domain.MemberSuspect
+		second, ok := m.neighbor()
+		m.mu.Unlock()
+		if !ok || second == first {
+			t.Fatalf("a host goes on probing %s, which is suspect, and not the one behind it", first)
+		}
+	})
+}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -188,13 +188,14 @@
 
 // neighbor returns the member that follows this host on a ring which all hosts
 // order alike. It has this host for its prober, whatever the random rotations of
-// the others choose.
+// the others choose. Suspects are passed over, as the member behind one would have no
+// prober until it is dead.
 func (m *Membership) neighbor() (domain.HostID, bool) {
 	own := ringPosition(m.self.ID)
 	var nearest domain.HostID
 	var least uint64
 	for id, r := range m.records {
-		if r.member.State == domain.MemberDead {
+		if r.member.State == domain.MemberDead || r.member.State == domain.MemberSuspect {
 			continue
 		}
 		// The difference wraps around the ring.
