Find test addresses in one place, below the ports of connections

Cause: TestRolesOfEnginesAreBroughtIntoBalance failed once (a host never got ready), and TestWholePath in one of 24 runs beside the soak: the log says that a listener's address was in use. The fixtures of platformentry and soak took a port that the system gives to connections and let it go, so another process could take it before the host did. The scripts already had a way without this; it is now internal/freeport and serves all three.

--- a/cmd/greengagespoke/cert_test.go
+++ b/cmd/greengagespoke/cert_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"greengagespoke/internal/freeport"
 )
 
 // certLife is how long a script's certificate is valid.
@@ -31,7 +33,7 @@
 		Subject:               pkix.Name{CommonName: "script"},
 		NotBefore:             time.Now().Add(-certLife),
 		NotAfter:              time.Now().Add(certLife),
-		IPAddresses:           []net.IP{loopback()},
+		IPAddresses:           []net.IP{freeport.Loopback()},
 		IsCA:                  true,
 		BasicConstraintsValid: true,
 		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
--- a/cmd/greengagespoke/script_test.go
+++ b/cmd/greengagespoke/script_test.go
@@ -4,20 +4,19 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"regexp"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"greengagespoke/internal/freeport"
 )
 
 const (
@@ -29,10 +28,8 @@
 	// waitInterval is the time between two looks at a condition.
 	waitInterval = 10 * time.Millisecond
 	// scriptPorts is the number of free addresses that a script gets as $ADDR1 and
-	// on, with ports between firstPort and lastPort.
+	// on.
 	scriptPorts = 8
-	firstPort   = 20000
-	lastPort    = 32000
 )
 
 func TestMain(m *testing.M) {
@@ -68,7 +65,7 @@
 // setup gives each script its own free loopback addresses.
 func setup(env *testscript.Env) error {
 	for i := range scriptPorts {
-		address, err := freeAddress()
+		address, err := freeport.Address()
 		if err != nil {
 			return err
 		}
@@ -79,38 +76,6 @@
 	return nil
 }
 
-// nextPort is the next port that freeAddress tries. Ports of one process are
-// given out once, and lie below those that the system gives to connections.
-var nextPort atomic.Int32
-
-// freeAddress returns a loopback address that nothing listens on.
-func freeAddress() (string, error) {
-	var last error
-	for port := firstPort + int(nextPort.Add(1)); port < lastPort; port = firstPort + int(nextPort.Add(1)) {
-		address := net.JoinHostPort(loopback().String(), strconv.Itoa(port))
-		l, err := net.Listen("tcp", address)
-		if err == nil {
-			return address, l.Close()
-		}
-		last = err
-	}
-	return "", fmt.Errorf("no free port: %w", last)
-}
-
-// loopback returns a loopback IP number of this process, so that test processes
-// that run side by side do not take each other's ports. Where the system has
-// only one loopback IP number, it is that.
-var loopback = sync.OnceValue(func() net.IP {
-	pid := os.Getpid()
-	ip := net.IPv4(127, byte(1+pid>>16%100), byte(pid>>8), byte(1+pid%250))
-	l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
-	if err != nil {
-		return net.IPv4(127, 0, 0, 1)
-	}
-	_ = l.Close()
-	return ip
-})
-
 func fails(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: fails CODE PROGRAM ARG...")
--- a/platformentry/fixture_test.go
+++ b/platformentry/fixture_test.go
@@ -6,13 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"greengagespoke/internal/freeport"
 	"greengagespoke/platform/platformtest"
 	"greengagespoke/platform/settings"
 	"greengagespoke/platform/wire"
@@ -44,12 +44,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	address, err := freeport.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // newSite starts a store, workers and hosts, and waits until all hosts are ready.
--- a/soak/process.go
+++ b/soak/process.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"greengagespoke/internal/freeport"
 	"greengagespoke/platform/platformtest"
 	"greengagespoke/platform/settings"
 )
@@ -36,24 +36,14 @@
 	leaving bool
 }
 
-// freePort returns a port that is free now.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // Loopback.
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // newHost writes the settings of a host. It is not started yet.
 func newHost(binary, dir, name, zone string, link *proxy) (*host, error) {
 	h := &host{name: name, zone: zone, binary: binary, dir: dir, link: link}
 	ports := make([]string, 4)
 	for i := range ports {
 		var err error
-		if ports[i], err = freePort(); err != nil {
-			return nil, eris.Wrap(err, "no free port; end other programs")
+		if ports[i], err = freeport.Address(); err != nil {
+			return nil, eris.Wrap(err, "a host has no address")
 		}
 	}
 	h.callers, h.ready = ports[0], ports[1]
