--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -239,13 +239,18 @@
 	for _, id := range []domain.UpstreamID{"f1", "f2"} {
 		f.add(id, testService, domain.RolePrefill)
 	}
+	f.gate = newTestGate(f, f.catalog, hosts)
+	return f
+}
+
+// newTestGate returns the gate of one of several hosts before the fixture's world.
+func newTestGate(f *fixture, c *catalog.Catalog, hosts int) *Gate {
 	budget := NewBudget(func() int { return hosts })
 	budget.Set(BudgetLimits{Ratio: 0.2, Extra: 58, Window: 10 * time.Second})
-	f.gate = NewGate(Config{
-		Zone: testZone, Catalog: f.catalog, Upstreams: f.world, Budget: budget,
+	return NewGate(Config{
+		Zone: testZone, Catalog: c, Upstreams: f.world, Budget: budget,
 		Counters: counters.NewSet(), Loads: stages.NewLoads(), Leaving: func() bool { return f.leaving },
 	})
-	return f
 }
 
 func (f *fixture) add(id domain.UpstreamID, service traffic.ServiceName, role domain.Role) {
--- a/dispatch/plain_test.go
+++ b/dispatch/plain_test.go
@@ -107,7 +107,7 @@
 	if caller := f.serve("/none/x", &fakeCaller{}); caller.refusal.Kind != domain.RefusalNoRoute {
 		t.Fatalf("refusal %v", caller.refusal)
 	}
-	unknown := newTestGate(f.world, catalog.New(), 1)
+	unknown := newTestGate(f, catalog.New(), 1)
 	asked := &fakeCaller{}
 	unknown.Serve(t.Context(), newRequest("/once/x"), asked)
 	if asked.refusal == nil || asked.refusal.Kind != domain.RefusalStoreDown || asked.refusal.Ran != domain.RanNo {
--- a/dispatch/readers.go
+++ b/dispatch/readers.go
@@ -89,10 +89,14 @@
 // expect. Hosts do not know of each other's prompts, so it asks the engines: one has
 // room for a reservation of nearly all its memory while it reads no prompt.
 func (g *Gate) reader(ctx context.Context, n *generation, engines []candidate, zone domain.Zone) (*traffic.Upstream, time.Duration) {
-	best, delay := g.readers.pick(engines, zone)
+	var best *traffic.Upstream
+	var delay time.Duration
 	open := slices.Clone(engines)
 	for range min(idleTries, len(engines)) {
 		up, expected := g.readers.pick(open, zone)
+		if best == nil {
+			best, delay = up, expected
+		}
 		if g.isIdle(ctx, n, up) {
 			return up, expected
 		}
--- a/dispatch/readers_test.go
+++ b/dispatch/readers_test.go
@@ -10,10 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"greengagespoke/catalog"
-	"greengagespoke/counters"
 	"greengagespoke/domain"
-	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
 
@@ -108,16 +105,7 @@
 	f.world.idle = engines.idle
 	gates := make([]*Gate, readingHosts)
 	for i := range gates {
-		gates[i] = newTestGate(f.world, f.catalog, readingHosts)
+		gates[i] = newTestGate(f, f.catalog, readingHosts)
 	}
 	return gates, f.world
 }
-
-func newTestGate(w *world, c *catalog.Catalog, hosts int) *Gate {
-	budget := NewBudget(func() int { return hosts })
-	budget.Set(BudgetLimits{Ratio: 0.2, Extra: 58, Window: 10 * time.Second})
-	return NewGate(Config{
-		Zone: testZone, Catalog: c, Upstreams: w, Budget: budget,
-		Counters: counters.NewSet(), Loads: stages.NewLoads(), Leaving: func() bool { return false },
-	})
-}
--- a/domain/ids.go
+++ b/domain/ids.go
@@ -1,11 +1,19 @@
 package domain
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // HostID names one entry host. It is unique in a deployment and stays the same
 // across restarts of the daemon on that host.
 type HostID string
 
+// RingPosition is where the host stands on a ring that all hosts order alike, with
+// neighbors that do not depend on names or zones.
+func (id HostID) RingPosition() uint64 { return xxhash.Sum64String(string(id)) }
+
 // Zone names an availability zone.
 type Zone string
 
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"greengagespoke/domain"
@@ -191,7 +190,7 @@
 // the others choose. Suspects are passed over, as the member behind one would have no
 // prober until it is dead.
 func (m *Membership) neighbor() (domain.HostID, bool) {
-	own := ringPosition(m.self.ID)
+	own := m.self.ID.RingPosition()
 	var nearest domain.HostID
 	var least uint64
 	for id, r := range m.records {
@@ -199,15 +198,13 @@
 			continue
 		}
 		// The difference wraps around the ring.
-		if distance := ringPosition(id) - own; nearest == "" || distance < least {
+		if distance := id.RingPosition() - own; nearest == "" || distance < least {
 			nearest, least = id, distance
 		}
 	}
 	return nearest, nearest != ""
 }
 
-func ringPosition(id domain.HostID) uint64 { return xxhash.Sum64String(string(id)) }
-
 func (m *Membership) shuffleRotation() {
 	m.rotation = make([]domain.HostID, 0, len(m.records))
 	for id := range m.records {
--- a/stages/balancer.go
+++ b/stages/balancer.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"k8s.io/klog/v2"
 
 	"greengagespoke/domain"
@@ -156,14 +155,14 @@
 // chosen reports whether a host is the one that should have the duty: the first
 // by hash of those that are known to live.
 func chosen(self domain.HostID, members []domain.Member) bool {
-	own := xxhash.Sum64String(string(self))
+	own := self.RingPosition()
 	known := 0
 	for _, m := range members {
 		if m.State != domain.MemberAlive || m.Incarnation == 0 {
 			continue
 		}
 		known++
-		if m.ID != self && xxhash.Sum64String(string(m.ID)) < own {
+		if m.ID != self && m.ID.RingPosition() < own {
 			return false
 		}
 	}
--- a/storerelay/choose.go
+++ b/storerelay/choose.go
@@ -5,8 +5,6 @@
 	"maps"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"greengagespoke/domain"
 )
 
@@ -45,7 +43,7 @@
 		return nil, true
 	}
 	// The hosts of a zone spread over its readers.
-	turn := int(position(self) % uint64(len(near)))
+	turn := int(self.RingPosition() % uint64(len(near)))
 	readers = append(slices.Clone(near[turn:]), near[:turn]...)
 	if far, ok := nextZone(own, zones); ok {
 		readers = append(readers, chosen(zones[far], len(zones))[0])
@@ -59,7 +57,7 @@
 	if zones < fewestZones {
 		n = max(n, fewestZones)
 	}
-	slices.SortFunc(hosts, func(a, b domain.HostID) int { return cmp.Compare(position(a), position(b)) })
+	slices.SortFunc(hosts, func(a, b domain.HostID) int { return cmp.Compare(a.RingPosition(), b.RingPosition()) })
 	return hosts[:min(n, len(hosts))]
 }
 
@@ -70,5 +68,3 @@
 	next := names[(i+1)%len(names)]
 	return next, next != own
 }
-
-func position(id domain.HostID) uint64 { return xxhash.Sum64String(string(id)) }
