dispatch: tell a crash of an upstream from a lost connection, and name what was sent

The log of a call that failed named the identifier of the attempt, which differs in each copy of a request, and not whether the upstream had crashed.

Requests now carry a fingerprint of caller, host name, path and body, which the lines on failed calls, streams and prompts show. After a connection that the upstream closed, a host asks once whether anything listens there: if not, and the upstream was not leaving, it has crashed. A line and dispatch_connections_lost, dispatch_crashes and dispatch_crashes_unknown say so. Nothing else follows from it yet.

--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -18,12 +18,16 @@
 	defWait                 = counters.Define("dispatch_wait_ms", "time from the arrival of a generation to its slot on a decode engine, in milliseconds")
 	defPrefill              = counters.Define("dispatch_prefill_ms", "duration of a prefill call, in milliseconds")
 	defCall                 = counters.Define("dispatch_call_ms", "duration of a plain call to its upstream, in milliseconds")
+	defConnectionsLost      = counters.Define("dispatch_connections_lost", "calls that failed because the upstream closed or reset the connection")
+	defCrashes              = counters.Define("dispatch_crashes", "calls during which the process of the upstream ended unplanned")
+	defCrashesUnknown       = counters.Define("dispatch_crashes_unknown", "lost connections to an upstream that could not be asked whether it crashed")
 	defPrefillWasted        = counters.Define("dispatch_prefill_wasted", "prefilled prompts that were discarded unused")
 )
 
 type metrics struct {
 	refused, answered, retried, streamsBroken, disconnected,
-	reservations, reservationsRejected, prefillsWasted, prefillBusy *expvar.Int
+	reservations, reservationsRejected, prefillsWasted, prefillBusy,
+	connectionsLost, crashes, crashesUnknown *expvar.Int
 	slotWait, prefill, call *counters.Histogram
 }
 
@@ -32,7 +36,8 @@
 		refused: set.Int(defRefused), answered: set.Int(defAnswered), retried: set.Int(defRetried),
 		streamsBroken: set.Int(defStreamsBroken), disconnected: set.Int(defDisconnected),
 		reservations: set.Int(defReservations), reservationsRejected: set.Int(defReservationsRejected), prefillsWasted: set.Int(defPrefillWasted),
-		prefillBusy: set.Int(defPrefillBusy),
-		slotWait:    set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
+		prefillBusy: set.Int(defPrefillBusy), connectionsLost: set.Int(defConnectionsLost),
+		crashes: set.Int(defCrashes), crashesUnknown: set.Int(defCrashesUnknown),
+		slotWait: set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
 	}
 }
--- /dev/null
+++ b/dispatch/crashes.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"greengagespoke/traffic"
+)
+
+// observeFailure counts a call that failed because its connection was lost, and finds out
+// whether the upstream's process has ended. A leaving upstream closes its connections as
+// planned, so its end is no crash.
+func (g *Gate) observeFailure(ctx context.Context, f *inFlight, up *traffic.Upstream, call *traffic.CallError) {
+	if !call.ConnectionLost {
+		return
+	}
+	g.metrics.connectionsLost.Add(1)
+	if !g.cfg.Catalog.Current(up) || !g.crashed(ctx, f, up) {
+		return
+	}
+	g.metrics.crashes.Add(1)
+	klog.InfoS("upstream crashed while it had a request", "request", f.req.ID, "fingerprint", f.req.Fingerprint,
+		"upstream", up.ID, "role", up.Role, "process", up.Incarnation().String())
+}
+
+// crashed reports whether the process of an upstream that closed a connection has ended.
+// One request at a time asks, and the others use its result.
+func (g *Gate) crashed(ctx context.Context, f *inFlight, up *traffic.Upstream) bool {
+	lostAt := time.Now()
+	t := g.stats.forUpstream(up)
+	t.crashMu.Lock()
+	defer t.crashMu.Unlock()
+	if t.crashed || t.crashCheckedAt.After(lostAt) {
+		return t.crashed
+	}
+	t.crashCheckedAt = time.Now()
+	// The caller may have left since.
+	listening, err := g.cfg.Upstreams.Listening(context.WithoutCancel(ctx), up)
+	if err != nil {
+		g.metrics.crashesUnknown.Add(1)
+		klog.InfoS("upstream may have crashed", "request", f.req.ID, "fingerprint", f.req.Fingerprint, "upstream", up.ID, "err", err)
+		return false
+	}
+	t.crashed = !listening
+	return t.crashed
+}
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -40,7 +40,9 @@
 	// reservationReleased is called with the tokens of each reservation that is
 	// released on a decode engine. It may be nil.
 	reservationReleased func(tokens int)
-	stream              func(up *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error)
+	// listening is asked after lost connections.
+	listening func(up *traffic.Upstream) (bool, error)
+	stream    func(up *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error)
 }
 
 func newFakeUpstreams() *fakeUpstreams {
@@ -49,6 +51,7 @@
 		reserve:     func(*traffic.Upstream, int) error { return nil },
 		reserveIdle: func(*traffic.Upstream, int) error { return nil },
 		prefill:     func(*traffic.Upstream) error { return nil },
+		listening:   func(*traffic.Upstream) (bool, error) { return true, nil },
 		stream: func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) {
 			return newFakeStream(3, nil), nil
 		},
@@ -75,6 +78,11 @@
 
 func (w *fakeUpstreams) Connected(*traffic.Upstream) bool { return true }
 
+func (w *fakeUpstreams) Listening(_ context.Context, up *traffic.Upstream) (bool, error) {
+	w.record("listening %s", up.ID)
+	return w.listening(up)
+}
+
 func (w *fakeUpstreams) Call(ctx context.Context, up *traffic.Upstream, _ *traffic.Request, _ time.Duration) (*traffic.Answer, error) {
 	w.record("call %s", up.ID)
 	answer, err := w.call(up)
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -157,7 +157,9 @@
 // streamNotStarted handles a stream that did not start. The prompt is kept for the
 // next attempt if the request did not reach the engine.
 func (g *Gate) streamNotStarted(ctx context.Context, n *generation, reservation *traffic.Reservation, prompt *traffic.Prompt, call *traffic.CallError) (outcome, *domain.Refusal) {
-	klog.InfoS("decode not started", "request", n.req.ID, "upstream", reservation.Engine.ID, "effect", call.Effect, "err", call.Err)
+	klog.InfoS("decode not started", "request", n.req.ID, "fingerprint", n.req.Fingerprint, "upstream", reservation.Engine.ID,
+		"effect", call.Effect, "lost", call.ConnectionLost, "err", call.Err)
+	g.observeFailure(ctx, n.inFlight, reservation.Engine, call)
 	if call.Effect != traffic.EffectUnknown {
 		g.discardReservation(reservation)
 	}
@@ -189,7 +191,10 @@
 	case ctx.Err() != nil || errors.Is(err, errCallerDisconnected):
 		return outcomeIgnored, n.endedRefusal(ctx)
 	default:
-		klog.InfoS("stream lost", "request", n.req.ID, "decode", reservation.Engine.ID, "events", n.eventsSent, "err", err)
+		call := asCallError(err)
+		klog.InfoS("stream lost", "request", n.req.ID, "fingerprint", n.req.Fingerprint, "decode", reservation.Engine.ID,
+			"events", n.eventsSent, "lost", call.ConnectionLost, "err", err)
+		g.observeFailure(ctx, n.inFlight, reservation.Engine, call)
 		n.slotNeededSince = time.Now()
 		return outcomeConnectionFailed, n.failedRefusal("the stream of " + string(reservation.Engine.ID) + " broke")
 	}
@@ -309,11 +314,14 @@
 			n.prefilled = true
 			return prompt
 		}
-		klog.InfoS("prompt not read", "request", n.req.ID, "upstream", up.ID, "effect", asCallError(err).Effect, "err", err)
+		call := asCallError(err)
+		klog.InfoS("prompt not read", "request", n.req.ID, "fingerprint", n.req.Fingerprint, "upstream", up.ID,
+			"effect", call.Effect, "lost", call.ConnectionLost, "err", err)
+		g.observeFailure(ctx, n.inFlight, up, call)
 		if ctx.Err() != nil {
 			return nil
 		}
-		if asCallError(err).Effect == traffic.EffectNotSent {
+		if call.Effect == traffic.EffectNotSent {
 			n.prefillCalls--
 		}
 	}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -109,8 +109,9 @@
 		if call.NotDelivered() {
 			delete(f.sent, up.ID)
 		}
-		klog.InfoS("call failed", "request", f.req.ID, "upstream", up.ID, "effect", call.Effect, "took", elapsed,
-			"broken", unhealthy, "version", f.configVersion, "err", err)
+		klog.InfoS("call failed", "request", f.req.ID, "fingerprint", f.req.Fingerprint, "upstream", up.ID, "effect", call.Effect, "took", elapsed,
+			"broken", unhealthy, "lost", call.ConnectionLost, "version", f.configVersion, "err", err)
+		g.observeFailure(ctx, f, up, call)
 		return nil, err
 	}
 	klog.InfoS("call answered", "request", f.req.ID, "upstream", up.ID, "status", answer.Status, "took", elapsed, "version", f.configVersion)
--- a/dispatch/track.go
+++ b/dispatch/track.go
@@ -68,6 +68,12 @@
 	// of rotation until unhealthyUntil.
 	connectionFailures int
 	unhealthyUntil     time.Time
+
+	// crashMu is held while a request finds out whether the process has ended; crashed
+	// says that it had at crashCheckedAt.
+	crashMu        sync.Mutex
+	crashed        bool
+	crashCheckedAt time.Time
 }
 
 // statsMap holds the stats of each upstream.
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"greengagespoke/domain"
 )
 
@@ -19,10 +21,25 @@
 	// generation, OutputHint is the caller's estimate of the output size. All are in
 	// tokens, 0 if unknown.
 	PromptTokens, MaxOutput, OutputHint int
+	// Fingerprint identifies what is sent and by whom. It is the same for each attempt
+	// of a caller, at any host, and 0 if it is unknown.
+	Fingerprint uint64
 	// Message holds the adapter's data for forwarding the request.
 	Message any
 }
 
+// Fingerprint returns the fingerprint of a request: a hash of the caller, the host name,
+// the path with its query, and the body.
+func Fingerprint(caller, host, target string, body []byte) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{caller, host, target} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
 // Answer is a complete response of an upstream.
 type Answer struct {
 	Status int
@@ -95,7 +112,10 @@
 	Effect Effect
 	// Misdirected means that another process now has the upstream's address.
 	Misdirected bool
-	Err         error
+	// ConnectionLost means that the upstream closed or reset the connection before its
+	// response was complete. It did so if its process ended.
+	ConnectionLost bool
+	Err            error
 }
 
 // NotDelivered reports whether the request did not reach the intended upstream.
@@ -113,6 +133,9 @@
 	// Connected reports whether there is an idle connection to an upstream. Opening a
 	// new one is expensive.
 	Connected(up *Upstream) bool
+	// Listening reports whether a process accepts connections at the address of an
+	// upstream. An error means that it is not known. It blocks for a bounded time.
+	Listening(ctx context.Context, up *Upstream) (bool, error)
 	// Call sends a request to an upstream that is not an engine and returns its complete
 	// response. Errors are *CallError.
 	Call(ctx context.Context, up *Upstream, req *Request, remaining time.Duration) (*Answer, error)
--- a/traffic/upstream.go
+++ b/traffic/upstream.go
@@ -1,6 +1,10 @@
 package traffic
 
-import "greengagespoke/domain"
+import (
+	"fmt"
+
+	"greengagespoke/domain"
+)
 
 // UpstreamState says whether an upstream accepts new requests.
 type UpstreamState int
@@ -41,6 +45,11 @@
 	return Incarnation{ID: u.ID, Address: u.Address, StartedAtMillis: u.StartedAtMillis}
 }
 
+// String returns a text that no other process of an upstream has.
+func (i Incarnation) String() string {
+	return fmt.Sprintf("%s@%s/%d", i.ID, i.Address, i.StartedAtMillis)
+}
+
 // UpstreamChange is a change of one registry entry.
 type UpstreamChange struct {
 	ID domain.UpstreamID
