platformentry: test that a crashing request is not sent on, failing

One request reaches each host again and again and crashes each upstream that runs it; other callers send other requests meanwhile.

--- /dev/null
+++ b/platformentry/crash_test.go
@@ -0,0 +1,268 @@
+package platformentry_test
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"greengagespoke/internal/knownred"
+	"greengagespoke/platform/platformtest"
+	"greengagespoke/platform/wire"
+)
+
+const (
+	// contactTime is the time after which hosts in touch must act on what any of them
+	// has seen.
+	contactTime = 3 * time.Second
+	// maxLateRuns is the number of runs of a request that the platform allows later than
+	// contactTime after the third crash.
+	maxLateRuns = 3
+	// crashLimit is the number of crashes after which a request must not run any more.
+	crashLimit = 3
+	// observedTime is how long a trial goes on after contactTime.
+	observedTime = 4 * time.Second
+	// replacementDelay is the time from a crash to the start of the next process, and
+	// entryTTL the time until the entry of the crashed one is removed.
+	replacementDelay = 2 * time.Second
+	entryTTL         = 3600 * time.Millisecond
+	// resendDelay is the time from a failure to the next attempt of the caller.
+	resendDelay = 400 * time.Millisecond
+	// crashingPath is the end of the path of the request that crashes upstreams.
+	crashingPath = "crashing"
+)
+
+// crashTrial sends one request to each host again and again. It crashes each upstream
+// that runs it, and other callers send other requests meanwhile.
+type crashTrial struct {
+	prefix    string
+	hosts     int
+	upstreams int
+	// sameAddress restarts a crashed process with its identifier and address. Otherwise a
+	// process with others replaces it.
+	sameAddress bool
+	// crashPrefill makes prefill engines crash, too.
+	crashPrefill bool
+	// cutOff keeps the hosts from learning of each other.
+	cutOff bool
+	// restartHosts restarts all hosts after the third crash.
+	restartHosts bool
+
+	t       *testing.T
+	d       *deployment
+	mu      sync.Mutex
+	crashes []time.Time
+	// answered and failed count the other requests, by whether they were sent later than
+	// contactTime after the third crash.
+	answered, failed map[bool]int
+	// failures holds some answers to other requests that were sent so late.
+	failures []string
+	refused  int
+}
+
+// fault crashes the process for the crashing request.
+func (c *crashTrial) fault(r *http.Request) platformtest.Fault {
+	if !strings.HasSuffix(r.URL.Path, crashingPath) || r.Header.Get(wire.HeaderStage) != "" && !c.crashPrefill {
+		return platformtest.FaultNone
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes = append(c.crashes, time.Now())
+	return platformtest.FaultCrash
+}
+
+// addWorker starts a worker that is replaced when it crashes.
+func (c *crashTrial) addWorker(id, service, zone, stage string) {
+	c.watch(platformtest.NewWorker(id, service, zone, stage))
+}
+
+func (c *crashTrial) watch(w *platformtest.Worker) {
+	c.t.Cleanup(w.Close)
+	w.SetStream(5, 20*time.Millisecond)
+	w.SetFault(c.fault)
+	w.OnCrash(func() {
+		time.AfterFunc(replacementDelay, func() { c.replace(w) })
+		if !c.sameAddress {
+			time.AfterFunc(entryTTL, func() { c.d.store.Delete(wire.TableUpstreams, w.ID) })
+		}
+	})
+	w.Register(c.d.store, "ready")
+}
+
+func (c *crashTrial) replace(w *platformtest.Worker) {
+	if !c.sameAddress {
+		c.addWorker(w.ID+"x", w.Service, w.Zone, w.Stage)
+		return
+	}
+	next, err := w.Restart()
+	if err != nil {
+		c.t.Errorf("worker %s not restarted: %v", w.ID, err)
+		return
+	}
+	c.watch(next)
+}
+
+// thirdCrash returns the time of the third crash, and whether it has happened.
+func (c *crashTrial) thirdCrash() (at time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes) < crashLimit {
+		return time.Time{}, false
+	}
+	return c.crashes[crashLimit-1], true
+}
+
+// late reports whether it is later than contactTime after the third crash.
+func (c *crashTrial) late() bool {
+	third, ok := c.thirdCrash()
+	return ok && time.Since(third) > contactTime
+}
+
+func (c *crashTrial) over() bool {
+	third, ok := c.thirdCrash()
+	return ok && time.Since(third) > contactTime+observedTime
+}
+
+// play runs the trial.
+func (c *crashTrial) play(t *testing.T) {
+	t.Helper()
+	c.t, c.answered, c.failed = t, make(map[bool]int), make(map[bool]int)
+	c.d = &deployment{t: t, store: platformtest.NewStore(), workers: make(map[string]*platformtest.Worker)}
+	t.Cleanup(c.d.store.Close)
+	if c.cutOff {
+		c.d.store.Hide("hosts")
+	}
+	c.d.configure(1, "ledger")
+	for i := range c.upstreams {
+		zone := []string{"z-a", "z-b"}[i%2]
+		c.addWorker(fmt.Sprintf("led-%d", i), "ledger", zone, "")
+		c.addWorker(fmt.Sprintf("dec-%d", i), "models", zone, "decode")
+		c.addWorker(fmt.Sprintf("pre-%d", i), "models", zone, "prefill")
+	}
+	for i := range c.hosts {
+		c.d.startHost(fmt.Sprintf("host-%d", i), []string{"z-a", "z-b"}[i%2])
+	}
+	hosts := slices.Clone(c.d.hosts)
+	for _, h := range hosts {
+		c.d.waitFor("upstreams known", func() bool {
+			return c.d.send(h, "GET", "/status/x", nil).status == 200 && c.d.send(h, "POST", "/draft/x", nil).status == 200
+		})
+	}
+	var callers sync.WaitGroup
+	for i, h := range hosts {
+		callers.Go(func() { c.sendCrashing(h) })
+		callers.Go(func() { c.sendOthers(h, i) })
+	}
+	if c.restartHosts {
+		callers.Go(func() { c.restart(hosts) })
+	}
+	callers.Wait()
+	c.report()
+}
+
+// sendCrashing sends the crashing request until the trial is over.
+func (c *crashTrial) sendCrashing(h *host) {
+	for !c.over() {
+		c.d.sendBody(h, "POST", c.prefix+crashingPath, nil, "the same body")
+		time.Sleep(resendDelay)
+	}
+}
+
+// sendOthers sends other requests until the trial is over. Every second one is the same
+// request, as of a caller that polls.
+func (c *crashTrial) sendOthers(h *host, caller int) {
+	for n := 0; !c.over(); n++ {
+		late := c.late()
+		path := fmt.Sprintf("%spoll-%d", c.prefix, caller)
+		if n%2 == 0 {
+			path = fmt.Sprintf("%sother-%d-%d", c.prefix, caller, n)
+		}
+		got := c.d.sendBody(h, "POST", path, nil, "")
+		c.mu.Lock()
+		if got.status == 200 && got.err == nil {
+			c.answered[late]++
+		} else {
+			c.failed[late]++
+			if late && len(c.failures) < 5 {
+				c.failures = append(c.failures, fmt.Sprintf("%s: %d %s %v", path, got.status, got.body, got.err))
+			}
+			if strings.Contains(got.body, "quarantined") {
+				c.refused++
+			}
+		}
+		c.mu.Unlock()
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// restart restarts all hosts at once after the third crash.
+func (c *crashTrial) restart(hosts []*host) {
+	for !c.over() {
+		third, ok := c.thirdCrash()
+		if !ok || time.Since(third) < 500*time.Millisecond {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		for _, h := range hosts {
+			h.stop()
+		}
+		for _, h := range hosts {
+			<-h.done
+		}
+		for _, h := range hosts {
+			c.d.runHost(&h.settings)
+		}
+		return
+	}
+}
+
+// report checks the result of the trial.
+func (c *crashTrial) report() {
+	third, _ := c.thirdCrash()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lateRuns := 0
+	for _, at := range c.crashes {
+		if at.Sub(third) > contactTime {
+			lateRuns++
+		}
+	}
+	c.t.Logf("%d runs in all, %d late; other requests: %d of %d answered, late ones %d of %d; %d quarantined",
+		len(c.crashes), lateRuns, c.answered[false], c.answered[false]+c.failed[false],
+		c.answered[true], c.answered[true]+c.failed[true], c.refused)
+	if lateRuns > maxLateRuns {
+		knownred.Errorf(c.t, "a request that crashed three upstreams ran %d times later than %s after the third crash, want at most %d",
+			lateRuns, contactTime, maxLateRuns)
+	}
+	if c.refused > 0 {
+		knownred.Errorf(c.t, "%d other requests were refused as if they crashed upstreams", c.refused)
+	}
+	if c.failed[true] > 0 {
+		knownred.Errorf(c.t, "%d other requests failed later than %s after the third crash: %q", c.failed[true], contactTime, c.failures)
+	}
+}
+
+// A request that crashes the upstreams that run it must not be sent to further ones once
+// it has crashed three, whichever host it reaches.
+func TestCrashingRequestIsNotSentOn(t *testing.T) {
+	for name, trial := range map[string]*crashTrial{
+		"repeatable":       {prefix: "/status/", hosts: 3, upstreams: 8},
+		"send-once":        {prefix: "/filing/", hosts: 3, upstreams: 8},
+		"resumable-stream": {prefix: "/note/", hosts: 3, upstreams: 8},
+		"stream":           {prefix: "/draft/", hosts: 3, upstreams: 8},
+		"prefill":          {prefix: "/note/", hosts: 3, upstreams: 8, crashPrefill: true},
+		"same-address":     {prefix: "/status/", hosts: 2, upstreams: 4, sameAddress: true},
+		"few-upstreams":    {prefix: "/status/", hosts: 3, upstreams: 2},
+		"hosts-cut-off":    {prefix: "/filing/", hosts: 4, upstreams: 8, cutOff: true},
+		"hosts-restarted":  {prefix: "/filing/", hosts: 3, upstreams: 8, restartHosts: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			defer knownred.Done(t)
+			trial.play(t)
+		})
+	}
+}
