dispatch: refuse a request that has crashed three upstreams

Callers saw upstreams crash one after the other, and their own requests fail meanwhile: a request that crashes each upstream that runs it was routed as a new one each time it came again. A host that lost the connection blamed the upstream only; the list of suspected requests that the product's own path keeps was not used on the platform's path.

The gate of the platform's path now gives a request a strike for each upstream process that crashed with it, and asks the list before each call: a plain call, a retry, a prompt for a prefill engine, a stream, a resumption. At three it is refused as quarantined, not run, with the time after which it may come back. A strike counts a process, so an upstream that restarts at its address counts again. A request that completes is cleared; a stream that completes after a prefill engine was lost is not, as it may crash the next one.

With one list a host, each host stops after three crashes of its own.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -6,12 +6,13 @@
 
 	"k8s.io/klog/v2"
 
+	"greengagespoke/domain"
 	"greengagespoke/traffic"
 )
 
 // observeFailure counts a call that failed because its connection was lost, and finds out
-// whether the upstream's process has ended. A leaving upstream closes its connections as
-// planned, so its end is no crash.
+// whether the upstream's process has ended. If so, the request gets a strike. A leaving
+// upstream closes its connections as planned, so its end is no crash.
 func (g *Gate) observeFailure(ctx context.Context, f *inFlight, up *traffic.Upstream, call *traffic.CallError) {
 	if !call.ConnectionLost {
 		return
@@ -21,6 +22,7 @@
 		return
 	}
 	g.metrics.crashes.Add(1)
+	g.cfg.Quarantine.RecordCrash(domain.UpstreamID(up.Incarnation().String()), []uint64{f.req.Fingerprint})
 	klog.InfoS("upstream crashed while it had a request", "request", f.req.ID, "fingerprint", f.req.Fingerprint,
 		"upstream", up.ID, "role", up.Role, "process", up.Incarnation().String())
 }
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -12,6 +12,7 @@
 	"greengagespoke/catalog"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/quarantine"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
@@ -261,7 +262,8 @@
 	budget.Set(BudgetLimits{Ratio: 0.2, Extra: 58, Window: 10 * time.Second})
 	return NewGate(Config{
 		Zone: testZone, Catalog: c, Upstreams: f.fakeUpstreams, Budget: budget,
-		Counters: counters.NewSet(), Loads: stages.NewLoads(), Rejecting: func() bool { return f.leaving },
+		Quarantine: quarantine.New(quarantine.Config{Counters: counters.NewSet()}),
+		Counters:   counters.NewSet(), Loads: stages.NewLoads(), Rejecting: func() bool { return f.leaving },
 	})
 }
 
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -10,6 +10,7 @@
 	"greengagespoke/catalog"
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/quarantine"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
@@ -35,6 +36,8 @@
 	Counters  *counters.Set
 	// Loads records the load that requests put on their engines.
 	Loads *stages.Loads
+	// Quarantine holds the requests that crash upstreams.
+	Quarantine *quarantine.List
 	// Rejecting reports whether the host rejects new requests because it is stopping.
 	Rejecting func() bool
 }
@@ -78,7 +81,11 @@
 // returns when the request has ended. ctx must end when the caller disconnects.
 func (g *Gate) Serve(ctx context.Context, req *traffic.Request, caller traffic.Caller) {
 	config, route := g.cfg.Catalog.Match(req.Host, req.Path)
-	if refusal := g.admit(config, route); refusal != nil {
+	refusal := g.admit(config, route)
+	if refusal == nil {
+		refusal = g.cfg.Quarantine.Check(req.Fingerprint)
+	}
+	if refusal != nil {
 		g.refuse(req, caller, refusal)
 		return
 	}
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -51,6 +51,9 @@
 	prefillCalls, streamCalls int
 	// prefilled says that a prefill call succeeded.
 	prefilled bool
+	// prefillLost says that a prefill engine closed the connection. If it crashed, a
+	// complete stream does not clear the request: it was prefilled elsewhere.
+	prefillLost bool
 }
 
 // serveGeneration serves a generation.
@@ -119,6 +122,10 @@
 	if refusal != nil {
 		return refusal
 	}
+	if refusal := g.quarantined(n); refusal != nil {
+		g.discardReservation(reservation)
+		return refusal
+	}
 	n.reservedAt = time.Now()
 	g.metrics.slotWait.Record(n.reservedAt.Sub(n.req.Arrived))
 	t := g.stats.forUpstream(reservation.Engine)
@@ -134,6 +141,11 @@
 		g.discardPrompt(prompt)
 		return n.endedRefusal(ctx)
 	}
+	if refusal := g.quarantined(n); refusal != nil {
+		g.discardReservation(reservation)
+		g.discardPrompt(prompt)
+		return refusal
+	}
 	// The first prefill call is free only if an engine prefilled the prompt.
 	if n.streamCalls == 0 && !n.prefilled && !g.takeRetry(n, n.prefillCalls) {
 		g.discardReservation(reservation)
@@ -154,6 +166,15 @@
 	return refusal
 }
 
+// quarantined returns the refusal of a request that crashed upstreams meanwhile, or nil.
+func (g *Gate) quarantined(n *generation) *domain.Refusal {
+	refusal := g.cfg.Quarantine.Check(n.req.Fingerprint)
+	if refusal == nil {
+		return nil
+	}
+	return refusal.WithRan(n.ran())
+}
+
 // streamNotStarted handles a stream that did not start. The prompt is kept for the
 // next attempt if the request did not reach the engine.
 func (g *Gate) streamNotStarted(ctx context.Context, n *generation, reservation *traffic.Reservation, prompt *traffic.Prompt, call *traffic.CallError) (outcome, *domain.Refusal) {
@@ -182,6 +203,9 @@
 func (g *Gate) streamEnded(ctx context.Context, n *generation, reservation *traffic.Reservation, err error) (outcome, *domain.Refusal) {
 	switch {
 	case err == nil:
+		if !n.prefillLost {
+			g.cfg.Quarantine.Clear(n.req.Fingerprint)
+		}
 		g.metrics.answered.Add(1)
 		g.cfg.Loads.RecordRequest(n.service, n.req.PromptTokens, reservation.Tokens, time.Since(n.reservedAt))
 		klog.InfoS("stream ended", "request", n.req.ID, "decode", reservation.Engine.ID, "events", n.eventsSent,
@@ -290,6 +314,9 @@
 func (g *Gate) runPrefill(ctx context.Context, n *generation, reservation *traffic.Reservation) *traffic.Prompt {
 	tried := make(map[domain.UpstreamID]bool)
 	for range maxPrefillAttempts {
+		if g.quarantined(n) != nil {
+			return nil
+		}
 		engines := g.candidates(n.service, time.Now(), func(up *traffic.Upstream) bool {
 			return up.Role == domain.RolePrefill && !tried[up.ID]
 		})
@@ -318,6 +345,7 @@
 		klog.InfoS("prompt not read", "request", n.req.ID, "fingerprint", n.req.Fingerprint, "upstream", up.ID,
 			"effect", call.Effect, "lost", call.ConnectionLost, "err", err)
 		g.observeFailure(ctx, n.inFlight, up, call)
+		n.prefillLost = n.prefillLost || call.ConnectionLost
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -31,12 +31,17 @@
 	// attempt may have been executed.
 	lastErr    *traffic.CallError
 	mayHaveRun bool
+	// quarantined is the refusal of a request that crashed upstreams meanwhile, or nil.
+	quarantined *domain.Refusal
 }
 
 // servePlain serves a call to a plain service.
 func (g *Gate) servePlain(ctx context.Context, f *inFlight, caller traffic.Caller) {
 	c := &plainCall{inFlight: f}
 	for ctx.Err() == nil {
+		if c.quarantined = g.cfg.Quarantine.Check(f.req.Fingerprint); c.quarantined != nil {
+			break
+		}
 		up := g.nextUpstream(c)
 		if up == nil {
 			break
@@ -60,6 +65,7 @@
 		}
 	}
 	if c.answer != nil {
+		g.cfg.Quarantine.Clear(f.req.Fingerprint)
 		g.metrics.answered.Add(1)
 		caller.Answer(c.answer)
 		return
@@ -145,6 +151,8 @@
 	case c.mayHaveRun:
 		return domain.Refuse(domain.RefusalUpstreamFailed, "the upstream failed",
 			"check whether the call took effect before sending it again").WithRan(domain.RanUnknown)
+	case c.quarantined != nil:
+		return c.quarantined
 	case c.lastErr == nil:
 		return noUpstreamRefusal(c.service)
 	default:
--- a/platformentry/crash_test.go
+++ b/platformentry/crash_test.go
@@ -48,6 +48,8 @@
 	crashPrefill bool
 	// cutOff keeps the hosts from learning of each other.
 	cutOff bool
+	// roaming sends the request to one host after the other instead of to all at once.
+	roaming bool
 	// restartHosts restarts all hosts after the third crash.
 	restartHosts bool
 
@@ -152,8 +154,13 @@
 		})
 	}
 	var callers sync.WaitGroup
+	if c.roaming {
+		callers.Go(func() { c.sendCrashing(hosts...) })
+	}
 	for i, h := range hosts {
-		callers.Go(func() { c.sendCrashing(h) })
+		if !c.roaming {
+			callers.Go(func() { c.sendCrashing(h) })
+		}
 		callers.Go(func() { c.sendOthers(h, i) })
 	}
 	if c.restartHosts {
@@ -163,10 +170,10 @@
 	c.report()
 }
 
-// sendCrashing sends the crashing request until the trial is over.
-func (c *crashTrial) sendCrashing(h *host) {
-	for !c.over() {
-		c.d.sendBody(h, "POST", c.prefix+crashingPath, nil, "the same body")
+// sendCrashing sends the crashing request to the hosts in turn until the trial is over.
+func (c *crashTrial) sendCrashing(hosts ...*host) {
+	for n := 0; !c.over(); n++ {
+		c.d.sendBody(hosts[n%len(hosts)], "POST", c.prefix+crashingPath, nil, "the same body")
 		time.Sleep(resendDelay)
 	}
 }
@@ -256,7 +263,8 @@
 		"prefill":          {prefix: "/note/", hosts: 3, upstreams: 8, crashPrefill: true},
 		"same-address":     {prefix: "/status/", hosts: 2, upstreams: 4, sameAddress: true},
 		"few-upstreams":    {prefix: "/status/", hosts: 3, upstreams: 2},
-		"hosts-cut-off":    {prefix: "/filing/", hosts: 4, upstreams: 8, cutOff: true},
+		"roaming":          {prefix: "/filing/", hosts: 6, upstreams: 8, roaming: true},
+		"hosts-cut-off":    {prefix: "/filing/", hosts: 6, upstreams: 8, roaming: true, cutOff: true},
 		"hosts-restarted":  {prefix: "/filing/", hosts: 3, upstreams: 8, restartHosts: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -29,6 +29,7 @@
 	"greengagespoke/platform/store"
 	"greengagespoke/platform/tcp"
 	"greengagespoke/platform/upstream"
+	"greengagespoke/quarantine"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
@@ -79,6 +80,7 @@
 	gate        *dispatch.Gate
 	retryBudget *dispatch.Budget
 	upstreams   *upstream.Client
+	quarantine  *quarantine.List
 	balancer    *stages.Balancer
 	app         *kratos.App
 
@@ -114,10 +116,11 @@
 	d.configPeers.Bind(peers)
 	d.storeSource.Bind(d.members.Members, peers.Relay)
 	d.catalog.OnApply(d.members.SetRevision)
+	d.quarantine = quarantine.New(quarantine.Config{Counters: counterSet})
 	loads := stages.NewLoads()
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load,
-		Budget: d.retryBudget, Loads: loads,
+		Budget: d.retryBudget, Loads: loads, Quarantine: d.quarantine,
 	})
 	d.balancer = stages.New(stages.Config{
 		Self: s.Host, Services: d.modelServices, Members: d.members.Members, Loads: loads,
