platform: hosts share the strikes of requests

Callers saw a request that had crashed three upstreams crash three more through each further host, and three more through each host that had been restarted: strikes were kept by the host that saw the crash, in memory.

Hosts now exchange strikes in two ways. The messages between hosts carry them, as on the product's own path, so that they spread while the store is away. And each host keeps a row of what it observed in a table of the store, which all hosts follow, so that strikes reach hosts that cannot reach each other and outlast restarts.

The test now counts the third process that crashed, not the third run: two copies may meet on the same process. Callers of a host that is being restarted wait for it instead of counting as failed.

--- a/platformentry/crash_test.go
+++ b/platformentry/crash_test.go
@@ -50,13 +50,20 @@
 	cutOff bool
 	// roaming sends the request to one host after the other instead of to all at once.
 	roaming bool
+	// latency is the time that plain upstreams take for a request. Other callers send a
+	// request again until it is answered, several at once.
+	latency time.Duration
 	// restartHosts restarts all hosts after the third crash.
 	restartHosts bool
 
-	t       *testing.T
-	d       *deployment
-	mu      sync.Mutex
+	t  *testing.T
+	d  *deployment
+	mu sync.Mutex
+	// runs holds the time of each run of the crashing request, crashes the time of the
+	// first one on each process.
+	runs    []time.Time
 	crashes []time.Time
+	crashed map[*platformtest.Worker]bool
 	// answered and failed count the other requests, by whether they were sent later than
 	// contactTime after the third crash.
 	answered, failed map[bool]int
@@ -65,14 +72,18 @@
 	refused  int
 }
 
-// fault crashes the process for the crashing request.
-func (c *crashTrial) fault(r *http.Request) platformtest.Fault {
+// fault crashes the process of a worker for the crashing request.
+func (c *crashTrial) fault(w *platformtest.Worker, r *http.Request) platformtest.Fault {
 	if !strings.HasSuffix(r.URL.Path, crashingPath) || r.Header.Get(wire.HeaderStage) != "" && !c.crashPrefill {
 		return platformtest.FaultNone
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.crashes = append(c.crashes, time.Now())
+	c.runs = append(c.runs, time.Now())
+	if !c.crashed[w] {
+		c.crashed[w] = true
+		c.crashes = append(c.crashes, time.Now())
+	}
 	return platformtest.FaultCrash
 }
 
@@ -84,7 +95,8 @@
 func (c *crashTrial) watch(w *platformtest.Worker) {
 	c.t.Cleanup(w.Close)
 	w.SetStream(5, 20*time.Millisecond)
-	w.SetFault(c.fault)
+	w.SetLatency(c.latency)
+	w.SetFault(func(r *http.Request) platformtest.Fault { return c.fault(w, r) })
 	w.OnCrash(func() {
 		time.AfterFunc(replacementDelay, func() { c.replace(w) })
 		if !c.sameAddress {
@@ -131,7 +143,7 @@
 // play runs the trial.
 func (c *crashTrial) play(t *testing.T) {
 	t.Helper()
-	c.t, c.answered, c.failed = t, make(map[bool]int), make(map[bool]int)
+	c.t, c.answered, c.failed, c.crashed = t, make(map[bool]int), make(map[bool]int), make(map[*platformtest.Worker]bool)
 	c.d = &deployment{t: t, store: platformtest.NewStore(), workers: make(map[string]*platformtest.Worker)}
 	t.Cleanup(c.d.store.Close)
 	if c.cutOff {
@@ -161,7 +173,13 @@
 		if !c.roaming {
 			callers.Go(func() { c.sendCrashing(h) })
 		}
-		callers.Go(func() { c.sendOthers(h, i) })
+		if c.latency == 0 {
+			callers.Go(func() { c.sendOthers(h, i) })
+			continue
+		}
+		for n := range persistentCallers {
+			callers.Go(func() { c.sendPersistently(h, i*persistentCallers+n) })
+		}
 	}
 	if c.restartHosts {
 		callers.Go(func() { c.restart(hosts) })
@@ -172,6 +190,7 @@
 
 // sendCrashing sends the crashing request to the hosts in turn until the trial is over.
 func (c *crashTrial) sendCrashing(hosts ...*host) {
+	time.Sleep(3 * c.latency) // Upstreams have other requests when the first one crashes.
 	for n := 0; !c.over(); n++ {
 		c.d.sendBody(hosts[n%len(hosts)], "POST", c.prefix+crashingPath, nil, "the same body")
 		time.Sleep(resendDelay)
@@ -188,23 +207,55 @@
 			path = fmt.Sprintf("%sother-%d-%d", c.prefix, caller, n)
 		}
 		got := c.d.sendBody(h, "POST", path, nil, "")
-		c.mu.Lock()
-		if got.status == 200 && got.err == nil {
-			c.answered[late]++
-		} else {
-			c.failed[late]++
-			if late && len(c.failures) < 5 {
-				c.failures = append(c.failures, fmt.Sprintf("%s: %d %s %v", path, got.status, got.body, got.err))
-			}
-			if strings.Contains(got.body, "quarantined") {
-				c.refused++
-			}
+		if c.restartHosts && got.status == 0 {
+			time.Sleep(20 * time.Millisecond) // The host is being restarted.
+			continue
 		}
-		c.mu.Unlock()
+		c.count(path, got, late)
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// count counts the answer to another request. late says that it was sent later than
+// contactTime after the third crash.
+func (c *crashTrial) count(path string, got response, late bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if got.status == 200 && got.err == nil {
+		c.answered[late]++
+		return
+	}
+	c.failed[late]++
+	if late && len(c.failures) < 5 {
+		c.failures = append(c.failures, fmt.Sprintf("%s: %d %s %v", path, got.status, got.body, got.err))
+	}
+	if strings.Contains(got.body, "quarantined") {
+		c.refused++
+	}
+}
+
+// persistentCallers is the number of callers at a host that send a request again until it
+// is answered.
+const persistentCallers = 10
+
+// sendPersistently sends requests until the trial is over, each of them until it is
+// answered or refused for good.
+func (c *crashTrial) sendPersistently(h *host, caller int) {
+	for n := 0; !c.over(); n++ {
+		late := c.late()
+		var got response
+		path := fmt.Sprintf("%sother-%d-%d", c.prefix, caller, n)
+		for !c.over() {
+			got = c.d.sendBody(h, "POST", path, nil, "")
+			if got.status == 200 && got.err == nil || strings.Contains(got.body, "quarantined") {
+				break
+			}
+			time.Sleep(resendDelay / 2)
+		}
+		c.count(path, got, late)
+	}
+}
+
 // restart restarts all hosts at once after the third crash.
 func (c *crashTrial) restart(hosts []*host) {
 	for !c.over() {
@@ -232,13 +283,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	lateRuns := 0
-	for _, at := range c.crashes {
+	for _, at := range c.runs {
 		if at.Sub(third) > contactTime {
 			lateRuns++
 		}
 	}
-	c.t.Logf("%d runs in all, %d late; other requests: %d of %d answered, late ones %d of %d; %d quarantined",
-		len(c.crashes), lateRuns, c.answered[false], c.answered[false]+c.failed[false],
+	c.t.Logf("%d runs on %d processes, %d late; other requests: %d of %d answered, late ones %d of %d; %d quarantined",
+		len(c.runs), len(c.crashes), lateRuns, c.answered[false], c.answered[false]+c.failed[false],
 		c.answered[true], c.answered[true]+c.failed[true], c.refused)
 	if lateRuns > maxLateRuns {
 		knownred.Errorf(c.t, "a request that crashed three upstreams ran %d times later than %s after the third crash, want at most %d",
@@ -263,6 +314,7 @@
 		"prefill":          {prefix: "/note/", hosts: 3, upstreams: 8, crashPrefill: true},
 		"same-address":     {prefix: "/status/", hosts: 2, upstreams: 4, sameAddress: true},
 		"few-upstreams":    {prefix: "/status/", hosts: 3, upstreams: 2},
+		"persistent":       {prefix: "/status/", hosts: 3, upstreams: 2, latency: 100 * time.Millisecond},
 		"roaming":          {prefix: "/filing/", hosts: 6, upstreams: 8, roaming: true},
 		"hosts-cut-off":    {prefix: "/filing/", hosts: 6, upstreams: 8, roaming: true, cutOff: true},
 		"hosts-restarted":  {prefix: "/filing/", hosts: 3, upstreams: 8, restartHosts: true},
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -29,6 +29,7 @@
 	"greengagespoke/platform/store"
 	"greengagespoke/platform/tcp"
 	"greengagespoke/platform/upstream"
+	"greengagespoke/ports"
 	"greengagespoke/quarantine"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
@@ -81,6 +82,7 @@
 	retryBudget *dispatch.Budget
 	upstreams   *upstream.Client
 	quarantine  *quarantine.List
+	strikes     *registry.Strikes
 	balancer    *stages.Balancer
 	app         *kratos.App
 
@@ -108,15 +110,19 @@
 	d.storeSource = registry.NewSource(storeClient, s.Host)
 	d.registry = registry.New(d.storeSource, d.catalog, d.hosts)
 	d.configPeers = registry.NewConfigPeers(d.catalog.Config, d.catalog)
+	d.quarantine = quarantine.New(quarantine.Config{
+		Counters: counterSet, OnObserved: func(s ports.Strike) { d.strikes.Observed(s) },
+	})
+	d.strikes = registry.NewStrikes(storeClient, d.storeSource, s.Host, d.quarantine, quarantine.DefaultStrikeTTL)
 	d.members = membership.New(membership.Config{
 		Self: self, HostList: d.hosts, Counters: counterSet, OnRevision: d.configPeers.OnPeerVersion, ProbePeriod: membershipProbePeriod,
+		Strikes: d.quarantine,
 	})
 	peers := d.newPeers(counterSet)
 	d.members.Bind(peers)
 	d.configPeers.Bind(peers)
 	d.storeSource.Bind(d.members.Members, peers.Relay)
 	d.catalog.OnApply(d.members.SetRevision)
-	d.quarantine = quarantine.New(quarantine.Config{Counters: counterSet})
 	loads := stages.NewLoads()
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load,
@@ -178,6 +184,7 @@
 		return eris.Wrap(err, "a listener failed; check the addresses in the settings file")
 	})
 	group.Go(func() error { return d.registry.Run(loopCtx) })
+	group.Go(func() error { return d.strikes.Run(loopCtx) })
 	group.Go(func() error { return d.upstreams.Run(loopCtx) })
 	group.Go(func() error { return d.members.Run(loopCtx) })
 	if d.settings.OrderLease > 0 {
--- a/ports/peers.go
+++ b/ports/peers.go
@@ -61,10 +61,12 @@
 // fingerprint. The request may have caused the crash.
 type Strike struct {
 	Fingerprint uint64
-	Upstream    domain.UpstreamID
+	// Upstream is the upstream, or the process of an upstream, that crashed. It is empty
+	// if the request completed, so that earlier strikes no longer count.
+	Upstream domain.UpstreamID
 	// Suspects is the number of requests that ran on the upstream when it crashed.
 	Suspects int
-	// Age is the time since the crash.
+	// Age is the time since the crash or the completion.
 	Age time.Duration
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -12,11 +12,15 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/ports"
 )
 
 const (
@@ -60,6 +64,10 @@
 	// StrikeTTL is the time after its last crash for which the strikes of a request
 	// count; zero means DefaultStrikeTTL.
 	StrikeTTL time.Duration
+	// OnObserved is called with each strike that this host records itself, and when a
+	// suspect completes on this host. It must neither block nor call the list. It may be
+	// nil.
+	OnObserved func(ports.Strike)
 }
 
 // List holds strikes by the fingerprint of the request. It is safe for concurrent use.
@@ -151,7 +159,16 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, f := range fingerprints {
-		l.recordStrike(f, strike{upstream: upstream, crashedAt: now, suspects: len(fingerprints), sendsLeft: sendsPerStrike})
+		s := strike{upstream: upstream, crashedAt: now, suspects: len(fingerprints), sendsLeft: sendsPerStrike}
+		if l.recordStrike(f, s) {
+			l.observed(ports.Strike{Fingerprint: f, Upstream: upstream, Suspects: s.suspects})
+		}
+	}
+}
+
+func (l *List) observed(s ports.Strike) {
+	if l.cfg.OnObserved != nil {
+		l.cfg.OnObserved(s)
 	}
 }
 
@@ -163,17 +180,43 @@
 	if _, ok := l.records.entries[fingerprint]; !ok {
 		return
 	}
-	l.remove(fingerprint)
-	l.cleared.put(fingerprint, time.Now())
+	l.clearUntil(fingerprint, time.Now())
+	l.observed(ports.Strike{Fingerprint: fingerprint})
+}
+
+// clearUntil removes the strikes of a request until the time at which it completed. They
+// do not count if they arrive later.
+func (l *List) clearUntil(fingerprint uint64, completedAt time.Time) {
+	if !completedAt.After(l.cleared.entries[fingerprint]) {
+		return
+	}
+	l.cleared.put(fingerprint, completedAt)
+	r := l.unexpiredRecord(fingerprint)
+	if r == nil {
+		return
+	}
 	l.count(defCleared, 1)
+	r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return !s.crashedAt.After(completedAt) })
+	if len(r.strikes) == 0 {
+		l.remove(fingerprint)
+	} else if r.quarantined && !l.reachesLimit(r) {
+		r.quarantined = false
+		delete(l.culprits, fingerprint)
+	}
+}
+
+// reachesLimit reports whether a request with these strikes is quarantined.
+func (l *List) reachesLimit(r *record) bool {
+	return len(r.strikes) >= l.cfg.StrikeLimit || r.crashes() >= l.cfg.StrikeLimit+extraCrashes
 }
 
 // recordStrike records a strike unless it is known, expired or older than the time at
-// which the request was cleared, and quarantines the request if it reaches the limit.
-func (l *List) recordStrike(fingerprint uint64, s strike) {
+// which the request was cleared, and quarantines the request if it reaches the limit. It
+// reports whether it recorded the strike.
+func (l *List) recordStrike(fingerprint uint64, s strike) bool {
 	now := time.Now()
 	if fingerprint == 0 || now.Sub(s.crashedAt) > l.cfg.StrikeTTL || !s.crashedAt.After(l.cleared.entries[fingerprint]) {
-		return
+		return false
 	}
 	r := l.unexpiredRecord(fingerprint)
 	if r == nil {
@@ -181,19 +224,21 @@
 		l.records.put(fingerprint, r)
 	}
 	if r.quarantined {
-		return
+		return false
 	}
 	s.explained = l.isExplained(s)
 	if !r.addStrike(s) {
-		return
+		return false
 	}
 	l.count(defStrikes, 1)
-	if len(r.strikes) >= l.cfg.StrikeLimit || r.crashes() >= l.cfg.StrikeLimit+extraCrashes {
+	if l.reachesLimit(r) {
 		r.quarantined = true
 		l.culprits[fingerprint] = r
 		l.count(defQuarantined, 1)
+		klog.InfoS("request quarantined", "fingerprint", fingerprint, "crashes", r.crashes())
 		l.explain(fingerprint, r)
 	}
+	return true
 }
 
 // addStrike adds a strike and reports whether it is for a crash that was not known.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -8,6 +8,7 @@
 
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/ports"
 )
 
 func newList() *List { return New(Config{Counters: counters.NewSet()}) }
@@ -125,3 +126,48 @@
 		}
 	})
 }
+
+// A request that completed on another host must no longer be a suspect here, whichever of
+// the reports arrives first; a crash after that counts again.
+func TestCompletionOnAnotherHostClears(t *testing.T) {
+	for _, completionFirst := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			var observed []ports.Strike
+			a := New(Config{Counters: counters.NewSet(), OnObserved: func(s ports.Strike) { observed = append(observed, s) }})
+			b := newList()
+			for _, up := range []domain.UpstreamID{"p1", "p2", "p3"} {
+				a.RecordCrash(up, []uint64{7})
+			}
+			time.Sleep(time.Second)
+			a.Clear(7)
+			if len(observed) != 4 || observed[3] != (ports.Strike{Fingerprint: 7}) {
+				t.Fatalf("observed %v, want three strikes and a completion", observed)
+			}
+			for i := range 3 {
+				observed[i].Age = time.Second
+			}
+			if completionFirst {
+				b.MergeStored(observed[3:])
+			}
+			b.MergeStored(observed)
+			if b.Suspect(7) || b.Check(7) != nil {
+				t.Error("still a suspect or refused")
+			}
+			time.Sleep(time.Second)
+			b.RecordCrash("p4", []uint64{7})
+			if !b.Suspect(7) {
+				t.Error("a later crash does not count")
+			}
+		})
+	}
+}
+
+// Strikes that all hosts read from the store must not take room in the messages between
+// hosts.
+func TestStrikesFromTheStoreAreNotForwarded(t *testing.T) {
+	l := newList()
+	l.MergeStored([]ports.Strike{{Fingerprint: 7, Upstream: "p1"}})
+	if !l.Suspect(7) || len(l.Updates()) != 0 {
+		t.Error("the strike is not known, or is sent on")
+	}
+}
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -66,16 +66,26 @@
 
 // Merge records the strikes received from another host. New ones are forwarded by
 // Updates.
-func (l *List) Merge(strikes []ports.Strike) {
+func (l *List) Merge(strikes []ports.Strike) { l.merge(strikes, sendsPerStrike) }
+
+// MergeStored records strikes that all hosts read from the store, so that Updates does
+// not forward them.
+func (l *List) MergeStored(strikes []ports.Strike) { l.merge(strikes, 0) }
+
+func (l *List) merge(strikes []ports.Strike, sends int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, s := range strikes {
+		if s.Upstream == "" {
+			l.clearUntil(s.Fingerprint, now.Add(-s.Age))
+			continue
+		}
 		l.recordStrike(s.Fingerprint, strike{
 			upstream:  s.Upstream,
 			crashedAt: now.Add(-s.Age),
 			suspects:  s.Suspects,
-			sendsLeft: sendsPerStrike,
+			sendsLeft: sends,
 		})
 	}
 }
