--- a/storerelay/mirror.go
+++ b/storerelay/mirror.go
@@ -40,6 +40,8 @@
 	// recoveredAt is the time of the first successful read after an outage, or zero if
 	// there has been no outage.
 	recoveredAt time.Time
+	// maxAge is the maximum age of the copy when it is relayed.
+	maxAge time.Duration
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 }
@@ -53,12 +55,20 @@
 func (m *Mirror) getOrCreate(name string) *table {
 	t := m.tables[name]
 	if t == nil {
-		t = &table{rows: make(map[string]ports.RelayedRow), changed: make(chan struct{})}
+		t = &table{rows: make(map[string]ports.RelayedRow), changed: make(chan struct{}), maxAge: MaxCopyAge}
 		m.tables[name] = t
 	}
 	return t
 }
 
+// SetMaxAge replaces MaxCopyAge for a table that is read less often, as it hardly ever
+// changes.
+func (m *Mirror) SetMaxAge(name string, maxAge time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.getOrCreate(name).maxAge = maxAge
+}
+
 // Replace sets all rows of a table as of version and discards its history. fromStore
 // is false if the rows were relayed by another host.
 func (m *Mirror) Replace(name string, rows []ports.RelayedRow, version int64, fromStore bool) {
@@ -127,7 +137,7 @@
 }
 
 // Read implements ports.Relay. It returns ports.ErrRelayStale unless the copy was
-// read directly from the store within MaxCopyAge and the store is available, and
+// read directly from the store within its maximum age and the store is available, and
 // ctx.Err() if ctx ends while it waits for changes.
 func (m *Mirror) Read(ctx context.Context, req ports.RelayRequest) (ports.RelayPage, error) {
 	page, changed, err := m.readCopy(req)
@@ -153,7 +163,7 @@
 	defer m.mu.Unlock()
 	t := m.getOrCreate(req.Table)
 	age := time.Since(t.confirmedAt)
-	if !t.fromStore || t.storeUnavailable || age > MaxCopyAge {
+	if !t.fromStore || t.storeUnavailable || age > t.maxAge {
 		return ports.RelayPage{}, nil, ports.ErrRelayStale
 	}
 	page := ports.RelayPage{Version: t.version, Age: age}
--- a/storerelay/storerelay_test.go
+++ b/storerelay/storerelay_test.go
@@ -183,3 +183,26 @@
 		t.Fatalf("read of changes before the history starts: %v, %v, want Gone", page, err)
 	}
 }
+
+// A table that hardly ever changes may be read rarely and is relayed all the same, but not
+// once its host cannot read the store.
+func TestMirrorRelaysRarelyReadTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMirror()
+		m.SetMaxAge("x", 10*time.Second)
+		m.Replace("x", nil, 1, true)
+		time.Sleep(10 * time.Second)
+		if _, err := m.Read(context.Background(), ports.RelayRequest{Table: "x", After: 1}); err != nil {
+			t.Fatalf("read of a copy within its maximum age: %v", err)
+		}
+		time.Sleep(time.Millisecond)
+		if _, err := m.Read(context.Background(), ports.RelayRequest{Table: "x", After: 1}); !errors.Is(err, ports.ErrRelayStale) {
+			t.Fatalf("read of an older copy: %v, want ErrRelayStale", err)
+		}
+		m.Append("x", nil, 2, true)
+		m.MarkUnavailable("x")
+		if _, err := m.Read(context.Background(), ports.RelayRequest{Table: "x", After: 1}); !errors.Is(err, ports.ErrRelayStale) {
+			t.Fatalf("read without the store: %v, want ErrRelayStale", err)
+		}
+	})
+}
