dispatch: run requests that one more crash would quarantine one at a time

A request with two strikes that nothing explains now waits for its turn, one at a time on each host and service, for at most 2 s or half of its time. The third crash then has one cause a host, whose strikes explain those of the others, and these go on freely.

--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"greengagespoke/domain"
@@ -149,3 +151,90 @@
 		})
 	}
 }
+
+// Of several requests that were on the same crashed upstreams, only the one that causes
+// the third crash must be quarantined; requests without strikes must not wait for them.
+func TestThirdCrashQuarantinesItsCauseOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		const culprit, count = 3, 6
+		var fingerprints []uint64
+		for i := range uint64(count) {
+			fingerprints = append(fingerprints, i+1)
+		}
+		for _, process := range []domain.UpstreamID{"p@a/1", "q@a/1"} {
+			f.gate.cfg.Quarantine.RecordCrash(process, fingerprints)
+		}
+		var mu sync.Mutex
+		running, crashing := 0, false
+		f.callRequest = func(req *traffic.Request) (*traffic.Answer, error) {
+			mu.Lock()
+			running++
+			crashing = crashing || req.Fingerprint == culprit
+			mu.Unlock()
+			time.Sleep(50 * time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			running--
+			if crashing && req.Fingerprint <= count {
+				crashing = running > 0
+				return nil, errConnectionLost
+			}
+			return &traffic.Answer{Status: 200}, nil
+		}
+		f.listening = func(*traffic.Upstream) (bool, error) { return false, nil }
+		var callers sync.WaitGroup
+		serve := func(fingerprint uint64) *fakeCaller {
+			caller := &fakeCaller{}
+			callers.Go(func() {
+				req := newRequest("/once/x")
+				req.Fingerprint = fingerprint
+				f.gate.Serve(context.Background(), req, caller)
+			})
+			return caller
+		}
+		for _, fingerprint := range fingerprints {
+			serve(fingerprint)
+		}
+		began := time.Now()
+		clean := serve(100)
+		callers.Wait()
+		if clean.answer == nil || time.Since(began) > time.Second {
+			t.Errorf("a request without strikes got %+v, all together took %s", clean, time.Since(began))
+		}
+		for _, fingerprint := range fingerprints {
+			if got, want := f.gate.cfg.Quarantine.Check(fingerprint) != nil, fingerprint == culprit; got != want {
+				t.Errorf("request %d quarantined: %t, want %t", fingerprint, got, want)
+			}
+		}
+	})
+}
+
+// A request whose turn does not come must be refused as not run, not held until its
+// deadline.
+func TestRequestWhoseTurnDoesNotComeIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		for _, process := range []domain.UpstreamID{"p@a/1", "q@a/1"} {
+			f.gate.cfg.Quarantine.RecordCrash(process, []uint64{1, 2})
+		}
+		f.callRequest = func(*traffic.Request) (*traffic.Answer, error) {
+			time.Sleep(10 * time.Second)
+			return &traffic.Answer{Status: 200}, nil
+		}
+		first, second := &fakeCaller{}, &fakeCaller{}
+		var callers sync.WaitGroup
+		for i, caller := range []*fakeCaller{first, second} {
+			callers.Go(func() {
+				req := newRequest("/once/x")
+				req.Fingerprint = uint64(i + 1)
+				f.gate.Serve(context.Background(), req, caller)
+			})
+			synctest.Wait()
+		}
+		callers.Wait()
+		if r := second.refusal; first.answer == nil || r == nil || r.Ran != domain.RanNo || r.RetryAfter <= 0 {
+			t.Errorf("answers %+v and %+v, want a response and a refusal that says when to come back", first, second)
+		}
+	})
+}
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -41,6 +41,8 @@
 	// reservationReleased is called with the tokens of each reservation that is
 	// released on a decode engine. It may be nil.
 	reservationReleased func(tokens int)
+	// callRequest replaces call unless it is nil.
+	callRequest func(req *traffic.Request) (*traffic.Answer, error)
 	// listening is asked after lost connections.
 	listening func(up *traffic.Upstream) (bool, error)
 	stream    func(up *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error)
@@ -84,8 +86,11 @@
 	return w.listening(up)
 }
 
-func (w *fakeUpstreams) Call(ctx context.Context, up *traffic.Upstream, _ *traffic.Request, _ time.Duration) (*traffic.Answer, error) {
+func (w *fakeUpstreams) Call(ctx context.Context, up *traffic.Upstream, req *traffic.Request, _ time.Duration) (*traffic.Answer, error) {
 	w.record("call %s", up.ID)
+	if w.callRequest != nil {
+		return w.callRequest(req)
+	}
 	answer, err := w.call(up)
 	if errors.Is(err, errNoResponse) {
 		<-ctx.Done()
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -48,12 +48,13 @@
 	stats           statsMap
 	slots           *slotReserver
 	prefillSelector *prefillSelector
+	isolator        isolator
 	metrics         metrics
 }
 
 // NewGate returns a Gate that uses cfg.
 func NewGate(cfg Config) *Gate {
-	g := &Gate{cfg: cfg, stats: newStatsMap(), metrics: newMetrics(cfg.Counters), prefillSelector: newPrefillSelector()}
+	g := &Gate{cfg: cfg, stats: newStatsMap(), metrics: newMetrics(cfg.Counters), prefillSelector: newPrefillSelector(), isolator: newIsolator()}
 	g.slots = newSlotReserver(g)
 	return g
 }
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -115,6 +115,11 @@
 // attempt reserves a slot, has the prompt prefilled and relays the stream. It
 // returns nil if the caller has the complete response, and the reason otherwise.
 func (g *Gate) attempt(ctx context.Context, n *generation) *domain.Refusal {
+	end, refusal := g.beginAttempt(ctx, n.inFlight)
+	if refusal != nil {
+		return refusal.WithRan(n.ran())
+	}
+	defer end()
 	if n.streamCalls > 0 && !g.takeRetry(n, n.streamCalls) {
 		return overBudgetRefusal(n)
 	}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -31,22 +31,25 @@
 	// attempt may have been executed.
 	lastErr    *traffic.CallError
 	mayHaveRun bool
-	// quarantined is the refusal of a request that crashed upstreams meanwhile, or nil.
-	quarantined *domain.Refusal
+	// notBegun is the reason why the last attempt did not begin, or nil.
+	notBegun *domain.Refusal
 }
 
 // servePlain serves a call to a plain service.
 func (g *Gate) servePlain(ctx context.Context, f *inFlight, caller traffic.Caller) {
 	c := &plainCall{inFlight: f}
 	for ctx.Err() == nil {
-		if c.quarantined = g.cfg.Quarantine.Check(f.req.Fingerprint); c.quarantined != nil {
+		var end func()
+		if end, c.notBegun = g.beginAttempt(ctx, f); c.notBegun != nil {
 			break
 		}
 		up := g.nextUpstream(c)
 		if up == nil {
+			end()
 			break
 		}
 		answer, err := g.call(ctx, f, up)
+		end()
 		if err == nil || asCallError(err).Effect != traffic.EffectNotSent {
 			c.delivered++
 		}
@@ -151,8 +154,8 @@
 	case c.mayHaveRun:
 		return domain.Refuse(domain.RefusalUpstreamFailed, "the upstream failed",
 			"check whether the call took effect before sending it again").WithRan(domain.RanUnknown)
-	case c.quarantined != nil:
-		return c.quarantined
+	case c.notBegun != nil:
+		return c.notBegun
 	case c.lastErr == nil:
 		return noUpstreamRefusal(c.service)
 	default:
--- a/platformentry/crash_test.go
+++ b/platformentry/crash_test.go
@@ -314,7 +314,7 @@
 		"prefill":          {prefix: "/note/", hosts: 3, upstreams: 8, crashPrefill: true},
 		"same-address":     {prefix: "/status/", hosts: 2, upstreams: 4, sameAddress: true},
 		"few-upstreams":    {prefix: "/status/", hosts: 3, upstreams: 2},
-		"persistent":       {prefix: "/status/", hosts: 3, upstreams: 2, latency: 100 * time.Millisecond},
+		"persistent":       {prefix: "/status/", hosts: 3, upstreams: 1, latency: 300 * time.Millisecond},
 		"roaming":          {prefix: "/filing/", hosts: 6, upstreams: 8, roaming: true},
 		"hosts-cut-off":    {prefix: "/filing/", hosts: 6, upstreams: 8, roaming: true, cutOff: true},
 		"hosts-restarted":  {prefix: "/filing/", hosts: 3, upstreams: 8, restartHosts: true},
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -141,15 +141,24 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.unexpiredRecord(fingerprint)
-	if r == nil {
+	return r != nil && r.suspect()
+}
+
+// suspect reports whether a strike is not explained.
+func (r *record) suspect() bool {
+	return slices.ContainsFunc(r.strikes, func(s strike) bool { return !s.explained })
+}
+
+// AtLastStrike reports whether the request is a suspect that one more crash would
+// quarantine.
+func (l *List) AtLastStrike(fingerprint uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.unexpiredRecord(fingerprint)
+	if r == nil || r.quarantined || !r.suspect() {
 		return false
 	}
-	for _, s := range r.strikes {
-		if !s.explained {
-			return true
-		}
-	}
-	return false
+	return len(r.strikes) == l.cfg.StrikeLimit-1 || r.crashes() == l.cfg.StrikeLimit+extraCrashes-1
 }
 
 // RecordCrash records a crash: it adds a strike for the upstream to all requests that ran
