Bound what the clients of the store, of other hosts and of services read

The transport of net/http takes a head of 10 MB by default, the generated clients of other hosts read a body of any size, and a read of a table of the store went on for as long as the store said that there were more rows. No caller saw this; the class is that of the heads of upstreams.

All transports are now made with internal/httplimit, which takes heads of 64 KiB with their interim responses; a test of the imports finds one that is made without it. The time is bounded by the context of each call, as before. Bodies of the store, the services and the engines of the product's own path had their limits.

--- a/adapters/cli/caller_flags.go
+++ b/adapters/cli/caller_flags.go
@@ -14,6 +14,7 @@
 	"greengagespoke/adapters/gateclient"
 	"greengagespoke/adapters/strictyaml"
 	"greengagespoke/domain"
+	"greengagespoke/internal/httplimit"
 )
 
 // tokenVariable is the environment variable that holds a caller's token.
@@ -87,7 +88,7 @@
 	if !pool.AppendCertsFromPEM(pem) {
 		return nil, usageError("--ca: %s holds no certificate; name a PEM file of certificates", f.ca)
 	}
-	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport := httplimit.Transport(http.DefaultTransport.(*http.Transport).Clone())
 	transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 	return &http.Client{Transport: transport}, nil
 }
--- a/adapters/cli/standin_engine.go
+++ b/adapters/cli/standin_engine.go
@@ -9,6 +9,7 @@
 
 	"greengagespoke/adapters/enginehttp"
 	"greengagespoke/domain"
+	"greengagespoke/internal/httplimit"
 	"greengagespoke/standin/engine"
 )
 
@@ -81,7 +82,10 @@
 	return listenAndServe(ctx, streams, "engine "+f.id, f.listen, enginehttp.Handler(e))
 }
 
+// resultClient fetches prefill results from engines in other processes.
+var resultClient = &http.Client{Transport: httplimit.Transport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // fetchResult fetches a prefill result from an engine in another process.
 func fetchResult(ctx context.Context, source domain.Upstream, handle string) ([]byte, error) {
-	return enginehttp.NewClient(source, http.DefaultClient).Export(ctx, handle)
+	return enginehttp.NewClient(source, resultClient).Export(ctx, handle)
 }
--- a/adapters/gateclient/client.go
+++ b/adapters/gateclient/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/httplimit"
 )
 
 // Headers of requests to entry hosts.
@@ -53,7 +54,7 @@
 func New(cfg Config) *Client {
 	c := &Client{cfg: cfg, http: cfg.HTTP}
 	if c.http == nil {
-		c.http = &http.Client{Transport: http.DefaultTransport.(*http.Transport).Clone()}
+		c.http = &http.Client{Transport: httplimit.Transport(http.DefaultTransport.(*http.Transport).Clone())}
 	}
 	return c
 }
--- a/adapters/peerrpc/transport.go
+++ b/adapters/peerrpc/transport.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"greengagespoke/internal/httplimit"
 )
 
 const (
@@ -14,19 +16,23 @@
 	idleConnTimeout = 30 * time.Second
 	// maxIdleConnsPerHost limits the idle connections to one peer.
 	maxIdleConnsPerHost = 4
+	// maxResponseBytes bounds the response of a peer: a full copy of a table, or of the
+	// configuration.
+	maxResponseBytes = 16 << 20
 )
 
 // newDefaultHTTPClient returns a client for connections between hosts. It ignores
 // proxy settings from the environment.
 func newDefaultHTTPClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: httplimit.Transport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}}
+	})}
 }
 
-// signingClient signs and counts the requests of the generated twirp clients.
+// signingClient signs and counts the requests of the generated twirp clients, and limits
+// their responses.
 type signingClient struct {
 	http    *http.Client
 	auth    *authenticator
@@ -50,6 +56,7 @@
 		return nil, err
 	}
 	c.count(r, len(body), resp)
+	resp.Body = httplimit.Body(resp.Body, maxResponseBytes)
 	return resp, nil
 }
 
--- a/adapters/platformhttp/client.go
+++ b/adapters/platformhttp/client.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"greengagespoke/internal/httplimit"
 	"greengagespoke/ports"
 )
 
@@ -86,7 +87,7 @@
 	}
 	client := cfg.HTTP
 	if client == nil {
-		client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerService, IdleConnTimeout: idleConnTimeout}}
+		client = &http.Client{Transport: httplimit.Transport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerService, IdleConnTimeout: idleConnTimeout})}
 	}
 	return &Client{cfg: cfg, http: client}, nil
 }
--- a/adapters/upstreams/upstreams.go
+++ b/adapters/upstreams/upstreams.go
@@ -11,6 +11,7 @@
 	"greengagespoke/adapters/enginehttp"
 	"greengagespoke/adapters/servicehttp"
 	"greengagespoke/domain"
+	"greengagespoke/internal/httplimit"
 	"greengagespoke/ports"
 )
 
@@ -43,12 +44,12 @@
 func New() *Set {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	return &Set{
-		transport: &http.Transport{
+		transport: httplimit.Transport(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
-		},
+		}),
 		engines:  make(map[domain.UpstreamID]clientEntry[ports.Engine]),
 		services: make(map[domain.UpstreamID]clientEntry[ports.Service]),
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -28,6 +28,7 @@
 	"greengagespoke/counters"
 	"greengagespoke/domain"
 	"greengagespoke/host"
+	"greengagespoke/internal/httplimit"
 	"greengagespoke/ports"
 )
 
@@ -258,7 +259,7 @@
 	if !roots.AppendCertsFromPEM(pem) {
 		return nil, eris.Errorf("%s holds no certificate; check peers.ca", s.Peers.CA)
 	}
-	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport := httplimit.Transport(http.DefaultTransport.(*http.Transport).Clone())
 	transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
 	return &http.Client{Transport: transport}, nil
 }
--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -105,6 +105,46 @@
 	}
 }
 
+// clientTransport matches places that make the transport of an HTTP client.
+var clientTransport = regexp.MustCompile(`http\.Transport\{|http\.DefaultTransport|http\.DefaultClient|http\.Get\(|http\.Post\(`)
+
+// TestHTTPClientsLimitResponses checks that each transport is limited where it is made.
+func TestHTTPClientsLimitResponses(t *testing.T) {
+	root := filepath.Join("..", "..")
+	checked := 0
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && strings.HasPrefix(entry.Name(), ".") && path != root {
+			return filepath.SkipDir
+		}
+		if !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for line := range strings.Lines(string(text)) {
+			if !clientTransport.MatchString(line) {
+				continue
+			}
+			checked++
+			if !strings.Contains(line, "httplimit.Transport(") {
+				t.Errorf("%s makes a transport without httplimit.Transport: %s", path, strings.TrimSpace(line))
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if checked == 0 {
+		t.Error("no transport found; the pattern is out of date")
+	}
+}
+
 func checkImports(t *testing.T, top, dir string) {
 	t.Helper()
 	pkg, err := build.ImportDir(dir, 0)
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -22,6 +22,7 @@
 	"greengagespoke/counters"
 	"greengagespoke/dispatch"
 	"greengagespoke/domain"
+	"greengagespoke/internal/httplimit"
 	"greengagespoke/membership"
 	"greengagespoke/platform/ingress"
 	"greengagespoke/platform/registry"
@@ -147,10 +148,10 @@
 		Membership: d.members,
 		Key:        peerKey,
 		Counters:   counterSet,
-		HTTP: &http.Client{Transport: &http.Transport{
+		HTTP: &http.Client{Transport: httplimit.Transport(&http.Transport{
 			DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return tcp.Dial(ctx, addr) },
 			MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
-		}},
+		})},
 	})
 }
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"greengagespoke/internal/httplimit"
 	"greengagespoke/platform/wire"
 )
 
@@ -27,7 +28,7 @@
 // caller sends requests to random hosts over kept connections until the context
 // ends.
 func (r *run) caller(ctx context.Context, n int, draw *rand.Rand) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}, Timeout: callerWait}
+	client := &http.Client{Transport: httplimit.Transport(&http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}), Timeout: callerWait}
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		h := r.hosts[draw.IntN(len(r.hosts))]
