soak: a request that crashes workers, and responses without end

After the last fault and 3 s more, at most three further runs are allowed. Workers may also send heads or bodies without end, and a host may take 128 MB at most.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -87,8 +87,9 @@
 
 // breakWorker makes a worker spoil a part of its requests.
 func (r *run) breakWorker(length time.Duration) {
-	w := r.workers[r.draw.IntN(len(r.workers))]
-	fault := platformtest.Fault(1 + r.draw.IntN(7))
+	workers := r.currentWorkers()
+	w := workers[r.draw.IntN(len(workers))]
+	fault := platformtest.Fault(1 + r.draw.IntN(int(platformtest.FaultEndlessBody)))
 	count := 0
 	w.SetFault(func(*http.Request) platformtest.Fault {
 		if count++; count%2 == 0 {
@@ -100,7 +101,8 @@
 }
 
 func (r *run) drainWorker(length time.Duration) {
-	w := r.workers[r.draw.IntN(len(r.workers))]
-	w.Register(r.store, "draining")
-	time.AfterFunc(length, func() { w.Register(r.store, "ready") })
+	workers := r.currentWorkers()
+	id := workers[r.draw.IntN(len(workers))].ID
+	r.register(id, "draining")
+	time.AfterFunc(length, func() { r.register(id, "ready") })
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -10,17 +10,19 @@
 	"time"
 
 	"greengagespoke/platform/platformtest"
-	"greengagespoke/platform/wire"
 )
 
 const (
 	// settle is how long a run waits at its end, without faults, before it looks at
-	// what was left.
-	settle = 3 * time.Second
+	// what was left: for half of it hosts may still act on what the faults left.
+	settle = 2 * contactTime
 	// stopLimit is the longest planned stop.
 	stopLimit = 12 * time.Second
 )
 
+// crashDraw numbers the random draws of the crashing request, beyond those of callers.
+const crashDraw = 1 << 32
+
 // Options describe a run.
 type Options struct {
 	// Binary is the program under test, Dir a directory for settings and logs.
@@ -36,6 +38,8 @@
 	Seed     uint64
 	Requests int
 	Faults   int
+	// Crashes is the number of crashes of workers.
+	Crashes int
 	// Statuses counts the answers by status; 0 stands for none.
 	Statuses map[int]int
 	Findings []string
@@ -43,7 +47,7 @@
 
 // String returns the report on one line, with a line for each finding.
 func (r Report) String() string {
-	out := fmt.Sprintf("seed %d: %d requests, %d faults, answers %v, %d findings", r.Seed, r.Requests, r.Faults, r.Statuses, len(r.Findings))
+	out := fmt.Sprintf("seed %d: %d requests, %d faults, %d crashes, answers %v, %d findings", r.Seed, r.Requests, r.Faults, r.Crashes, r.Statuses, len(r.Findings))
 	for _, f := range r.Findings {
 		out += "\n  " + f
 	}
@@ -52,15 +56,20 @@
 
 // run is one run on its way.
 type run struct {
-	options Options
-	store   *platformtest.Store
-	workers []*platformtest.Worker
-	hosts   []*host
-	ledger  *ledger
-	draw    *rand.Rand
-	faults  int
-
-	mu      sync.Mutex
+	options  Options
+	store    *platformtest.Store
+	workers  []*platformtest.Worker
+	hosts    []*host
+	ledger   *ledger
+	draw     *rand.Rand
+	faults   int
+	crashLog *crashLog
+
+	mu sync.Mutex
+	// ended holds the crashed processes of workers; closed says that none is started any
+	// more.
+	ended   []*platformtest.Worker
+	closed  bool
 	version int
 	// versions holds the highest version that a life of a host has shown.
 	versions map[string]int
@@ -72,6 +81,7 @@
 		options: options, ledger: newLedger(), versions: make(map[string]int),
 		draw: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
+	r.crashLog = newCrashLog(rand.New(rand.NewPCG(options.Seed, crashDraw)))
 	defer r.close()
 	if err := r.setUp(ctx); err != nil {
 		return Report{}, err
@@ -82,15 +92,20 @@
 		draw := rand.New(rand.NewPCG(options.Seed, uint64(n)+1))
 		callers.Go(func() { r.caller(calling, n, draw) })
 	}
+	callers.Go(func() { r.crashingCaller(calling, rand.New(rand.NewPCG(options.Seed, crashDraw+1))) })
 	r.injectFaults(ctx)
 	r.heal()
+	lastFault := time.Now()
 	time.Sleep(settle)
+	r.checkMemory()
 	stop()
 	callers.Wait()
 	r.stopAll()
 	r.ledger.check(r.runsOf)
+	r.checkCrashes(lastFault)
+	crashes, _ := r.crashLog.count(lastFault)
 	return Report{
-		Seed: options.Seed, Requests: len(r.ledger.requests), Faults: r.faults,
+		Crashes: crashes, Seed: options.Seed, Requests: len(r.ledger.requests), Faults: r.faults,
 		Statuses: r.ledger.statuses, Findings: r.ledger.findings,
 	}, nil
 }
@@ -106,9 +121,7 @@
 		platformtest.NewWorker("pre-1", "models", "z-a", "prefill"), platformtest.NewWorker("pre-2", "models", "z-b", "prefill"),
 		platformtest.NewWorker("dec-1", "models", "z-a", "decode"), platformtest.NewWorker("dec-2", "models", "z-b", "decode"),
 	} {
-		w.SetStream(streamEvents, 15*time.Millisecond)
-		w.Register(r.store, "ready")
-		r.workers = append(r.workers, w)
+		r.addWorker(w)
 	}
 	for i := range r.options.Hosts {
 		link, err := newProxy(ctx, r.store.Address())
@@ -169,8 +182,10 @@
 }
 
 func (r *run) runsOf(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	n := 0
-	for _, w := range r.workers {
+	for _, w := range append(r.ended, r.workers...) {
 		n += w.Runs(id)
 	}
 	return n
@@ -186,7 +201,7 @@
 			r.ledger.find("%v", err)
 		}
 	}
-	for _, w := range r.workers {
+	for _, w := range r.currentWorkers() {
 		if w.Stage == "decode" && w.Held() > 0 {
 			r.ledger.find("%d places of %s were never given back", w.Held(), w.ID)
 		}
@@ -199,7 +214,10 @@
 		h.signal(syscall.SIGKILL)
 		h.link.close()
 	}
-	for _, w := range r.workers {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	for _, w := range r.currentWorkers() {
 		w.Close()
 	}
 	if r.store != nil {
@@ -214,8 +232,8 @@
 		h.link.set(linkOpen)
 		h.signal(syscall.SIGCONT)
 	}
-	for _, w := range r.workers {
+	for _, w := range r.currentWorkers() {
 		w.SetFault(nil)
-		r.store.Put(wire.TableUpstreams, w.ID, w.Entry("ready"))
+		w.Register(r.store, "ready")
 	}
 }
