dispatch: judge each lost connection by itself

An upstream that had refused a connection once, as one that is cut off may, would have counted as crashed at each later lost connection. And the strike of a crash could be cleared by the failed answer that another upstream had given to the same request before. No caller saw either; both were found on reading the change.

TestEachLostConnectionIsJudgedByItself fails without it.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -34,10 +34,10 @@
 	t := g.stats.forUpstream(up)
 	t.crashMu.Lock()
 	defer t.crashMu.Unlock()
-	if t.crashed || t.crashCheckedAt.After(lostAt) {
+	if t.crashCheckedAt.After(lostAt) {
 		return t.crashed
 	}
-	t.crashCheckedAt = time.Now()
+	t.crashCheckedAt, t.crashed = time.Now(), false
 	// The caller may have left since.
 	listening, err := g.cfg.Upstreams.Listening(context.WithoutCancel(ctx), up)
 	if err != nil {
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -238,3 +238,32 @@
 		}
 	})
 }
+
+// An upstream that refused connections for a moment is not taken for crashed when it closes
+// another one later, and a success of an earlier attempt does not clear a later crash.
+func TestEachLostConnectionIsJudgedByItself(t *testing.T) {
+	f := newFixture(t, 1)
+	f.call = func(*traffic.Upstream) (*traffic.Answer, error) { return nil, errConnectionLost }
+	for _, listening := range []bool{false, true} {
+		f.listening = func(*traffic.Upstream) (bool, error) { return listening, nil }
+		for range 4 {
+			f.serve("/once/x", &fakeCaller{})
+		}
+		if got := f.gate.metrics.crashes.Value(); got != 4 {
+			t.Errorf("%d crashes counted, want the 4 after which nothing listened", got)
+		}
+	}
+	answers := []error{nil, errConnectionLost}
+	f.callRequest = func(*traffic.Request) (*traffic.Answer, error) {
+		err := answers[0]
+		answers = answers[1:]
+		return &traffic.Answer{Status: 500}, err
+	}
+	f.listening = func(*traffic.Upstream) (bool, error) { return false, nil }
+	req := newRequest("/again/x")
+	req.Fingerprint = 7
+	f.gate.Serve(context.Background(), req, &fakeCaller{})
+	if !f.gate.cfg.Quarantine.Suspect(7) {
+		t.Error("the strike of the second attempt is gone")
+	}
+}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -68,7 +68,6 @@
 		}
 	}
 	if c.answer != nil {
-		g.cfg.Quarantine.Clear(f.req.Fingerprint)
 		g.metrics.answered.Add(1)
 		caller.Answer(c.answer)
 		return
@@ -123,6 +122,9 @@
 		g.observeFailure(ctx, f, up, call)
 		return nil, err
 	}
+	if !answer.Failed() {
+		g.cfg.Quarantine.Clear(f.req.Fingerprint)
+	}
 	klog.InfoS("call answered", "request", f.req.ID, "upstream", up.ID, "status", answer.Status, "took", elapsed, "version", f.configVersion)
 	return answer, nil
 }
