routing: refuse a service call that has crashed three services

The same cause on the product's own interface: completions that crash decode engines are found there, but calls to plain services, with an idempotency key or without, were routed as new ones each time. A client of services now says whether a connection was lost and whether anything still listens; a crash gives the call a strike, three refuse it. A call that is refused so on a repeated attempt is not told that it did not run.

--- a/adapters/servicehttp/client.go
+++ b/adapters/servicehttp/client.go
@@ -8,17 +8,24 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/connloss"
 	"greengagespoke/ports"
 )
 
-// maxBodyBytes limits the size of a request or response body.
-const maxBodyBytes = 16 << 20
+const (
+	// maxBodyBytes limits the size of a request or response body.
+	maxBodyBytes = 16 << 20
+	// listenTimeout bounds the time that Listening takes.
+	listenTimeout = 300 * time.Millisecond
+)
 
 // hopByHopHeaders apply to a single connection and are not forwarded (RFC 9110,
 // section 7.6.1).
@@ -28,6 +35,7 @@
 
 // Client calls one service instance. It implements ports.Service.
 type Client struct {
+	address string
 	baseURL string
 	http    *http.Client
 }
@@ -41,7 +49,7 @@
 		// Redirects are returned to the caller, which decides whether to follow them.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &Client{baseURL: "http://" + up.Address, http: client}
+	return &Client{address: up.Address, baseURL: "http://" + up.Address, http: client}
 }
 
 // Call implements ports.Service. Errors are *ports.ServiceError. The request counts
@@ -55,12 +63,12 @@
 	}
 	resp, err := c.http.Do(out)
 	if err != nil {
-		return ports.ServiceResponse{}, &ports.ServiceError{Sent: sent.Load(), Message: err.Error()}
+		return ports.ServiceResponse{}, &ports.ServiceError{Sent: sent.Load(), Lost: sent.Load() && connloss.Lost(err), Message: err.Error()}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
 	if err != nil {
-		return ports.ServiceResponse{}, &ports.ServiceError{Sent: true, Message: err.Error()}
+		return ports.ServiceResponse{}, &ports.ServiceError{Sent: true, Lost: connloss.Lost(err), Message: err.Error()}
 	}
 	if len(body) > maxBodyBytes {
 		message := fmt.Sprintf("the answer is larger than %d bytes", maxBodyBytes)
@@ -71,6 +79,20 @@
 	return ports.ServiceResponse{Status: resp.StatusCode, Header: header, Body: body}, nil
 }
 
+// Listening implements ports.Service.
+func (c *Client) Listening(ctx context.Context) (bool, error) {
+	dialer := net.Dialer{Timeout: listenTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if connloss.Refused(err) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	_ = conn.Close() // Nothing was sent on it.
+	return true, nil
+}
+
 func (c *Client) newRequest(ctx context.Context, req ports.ServiceRequest) (*http.Request, error) {
 	out, err := http.NewRequestWithContext(ctx, req.Method, c.baseURL+req.Path, nil)
 	if err != nil {
--- a/internal/simnet/service.go
+++ b/internal/simnet/service.go
@@ -24,6 +24,14 @@
 	inner    ports.Service
 }
 
+// Listening implements ports.Service. A network that loses messages does not tell.
+func (s *remoteService) Listening(ctx context.Context) (bool, error) {
+	if err := s.network.send(ctx, s.from, s.to, messageKey("listening", s.to.Name)); err != nil {
+		return false, err
+	}
+	return s.inner.Listening(ctx)
+}
+
 // Call implements ports.Service. A call that does not reach the service was not
 // sent; an answer that does not come back was.
 func (s *remoteService) Call(ctx context.Context, req ports.ServiceRequest) (ports.ServiceResponse, error) {
--- a/internal/simnet/upstreams.go
+++ b/internal/simnet/upstreams.go
@@ -42,6 +42,9 @@
 	return ports.ServiceResponse{}, &ports.ServiceError{Message: "no service on this network"}
 }
 
+// Listening implements ports.Service.
+func (unreachableService) Listening(context.Context) (bool, error) { return false, errUnreachable }
+
 // remoteEngine is an engine at the other end of a link.
 type remoteEngine struct {
 	upstreams *upstreams
--- a/ports/service.go
+++ b/ports/service.go
@@ -11,6 +11,9 @@
 	// it is a *ServiceError, which states whether the request may have been
 	// executed.
 	Call(ctx context.Context, req ServiceRequest) (ServiceResponse, error)
+	// Listening reports whether a process accepts connections at the instance's address.
+	// An error means that it is not known. It blocks for a bounded time.
+	Listening(ctx context.Context) (bool, error)
 }
 
 // ServiceRequest is a call to a plain service.
@@ -34,7 +37,10 @@
 type ServiceError struct {
 	// Sent reports that at least one byte of the request may have left the host.
 	// If it is false, the request was not executed.
-	Sent    bool
+	Sent bool
+	// Lost reports that the instance closed or reset the connection before its response
+	// was complete. It does so if its process ends.
+	Lost    bool
 	Message string
 }
 
--- a/routing/service.go
+++ b/routing/service.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
 
 	"greengagespoke/claims"
 	"greengagespoke/counters"
@@ -48,6 +50,14 @@
 		return ports.ServiceResponse{}, domain.Refuse(domain.RefusalNoRoute, "no route matches path "+call.Request.Path,
 			"check the path, or add a route with its prefix")
 	}
+	fingerprint := serviceFingerprint(call)
+	if refusal := g.cfg.Quarantine.Check(fingerprint); refusal != nil {
+		if call.Attempt > 1 {
+			// An earlier attempt may have run.
+			refusal = refusal.WithRan(domain.RanUnknown)
+		}
+		return ports.ServiceResponse{}, refusal
+	}
 	if timeout := route.Timeout.D(); timeout > 0 {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeout(ctx, timeout)
@@ -55,9 +65,40 @@
 	}
 	if isNonIdempotent(route, call.Request) {
 		g.counters.serviceOnce.Add(1)
-		return g.callOnce(ctx, route, call)
+		return g.callOnce(ctx, route, call, fingerprint)
+	}
+	return g.callIdempotent(ctx, route, call, fingerprint)
+}
+
+// serviceFingerprint returns a hash of the caller and the call. It is the same each time
+// that the caller repeats the call, with or without an idempotency key.
+func serviceFingerprint(call ServiceCall) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(string(call.Caller))
+	_, _ = d.Write(binary.LittleEndian.AppendUint64([]byte{0}, callDigest(call.Request)))
+	return d.Sum64()
+}
+
+// callUpstream sends a call to an upstream. If the upstream crashed with it, the call gets
+// a strike; if it completed, it is cleared.
+func (g *Gate) callUpstream(ctx context.Context, up domain.Upstream, req ports.ServiceRequest, fingerprint uint64) (ports.ServiceResponse, error) {
+	service := g.cfg.Upstreams.Service(up)
+	resp, err := service.Call(ctx, req)
+	if err == nil {
+		g.cfg.Quarantine.Clear(fingerprint)
+		return resp, nil
 	}
-	return g.callIdempotent(ctx, route, call)
+	var failed *ports.ServiceError
+	if !errors.As(err, &failed) || !failed.Lost || g.cfg.Leaving.Leaving(up.ID) {
+		return resp, err
+	}
+	listening, unknown := service.Listening(context.WithoutCancel(ctx))
+	klog.InfoS("service call lost", "upstream", up.ID, "fingerprint", fingerprint, "listening", listening, "unknown", unknown)
+	if !listening && unknown == nil {
+		g.counters.crashes.Add(1)
+		g.cfg.Quarantine.RecordCrash(up.ID, []uint64{fingerprint})
+	}
+	return resp, err
 }
 
 // isNonIdempotent reports whether the route lists the call as one that must
@@ -80,13 +121,13 @@
 
 // callOnce sends a non-idempotent call. With an idempotency key, the call is
 // executed under a claim. Without one, it is sent once and never retried.
-func (g *Gate) callOnce(ctx context.Context, route domain.Route, call ServiceCall) (ports.ServiceResponse, error) {
+func (g *Gate) callOnce(ctx context.Context, route domain.Route, call ServiceCall, fingerprint uint64) (ports.ServiceResponse, error) {
 	send := func(ctx context.Context) (ports.ServiceResponse, error) {
 		up, ok := g.pickServiceUpstream(route.Pool, nil)
 		if !ok {
 			return ports.ServiceResponse{}, noUpstreamRefusal(route.Pool)
 		}
-		return g.cfg.Upstreams.Service(up).Call(ctx, call.Request)
+		return g.callUpstream(ctx, up, call.Request, fingerprint)
 	}
 	var resp ports.ServiceResponse
 	var err error
@@ -126,18 +167,21 @@
 }
 
 // callIdempotent sends a call and retries it on failure.
-func (g *Gate) callIdempotent(ctx context.Context, route domain.Route, call ServiceCall) (ports.ServiceResponse, error) {
+func (g *Gate) callIdempotent(ctx context.Context, route domain.Route, call ServiceCall, fingerprint uint64) (ports.ServiceResponse, error) {
 	var avoid []domain.UpstreamID
 	for attempt := 1; ; attempt++ {
 		up, ok := g.pickServiceUpstream(route.Pool, avoid)
 		if !ok {
 			return ports.ServiceResponse{}, noUpstreamRefusal(route.Pool)
 		}
-		resp, err := g.cfg.Upstreams.Service(up).Call(ctx, call.Request)
+		resp, err := g.callUpstream(ctx, up, call.Request, fingerprint)
 		if err == nil {
 			g.retryBudget(route.Name).Success(route.RetryPercent)
 			return resp, nil
 		}
+		if refusal := g.cfg.Quarantine.Check(fingerprint); refusal != nil {
+			return resp, refusal.WithRan(domain.RanUnknown)
+		}
 		if ctx.Err() != nil || attempt >= maxServiceAttempts || !g.retryBudget(route.Name).Take() {
 			return resp, serviceRefusal(route.Pool, err)
 		}
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -90,11 +90,11 @@
 		return ports.ServiceResponse{}, err
 	}
 	if !pause.For(ctx, s.cfg.Latency/2) || f.loseRequest {
-		return ports.ServiceResponse{}, &ports.ServiceError{Sent: true, Message: "connection reset before the answer"}
+		return ports.ServiceResponse{}, &ports.ServiceError{Sent: true, Lost: true, Message: "connection reset before the answer"}
 	}
 	answer := s.ledger.execute(req, s.cfg)
 	if !pause.For(ctx, s.cfg.Latency/2) || f.loseAnswer || s.isDown() {
-		return ports.ServiceResponse{}, &ports.ServiceError{Sent: true, Message: "connection reset before the answer"}
+		return ports.ServiceResponse{}, &ports.ServiceError{Sent: true, Lost: true, Message: "connection reset before the answer"}
 	}
 	body, err := json.Marshal(answer)
 	if err != nil {
@@ -104,6 +104,9 @@
 	return ports.ServiceResponse{Status: http.StatusOK, Header: header, Body: body}, nil
 }
 
+// Listening implements ports.Service.
+func (s *Service) Listening(context.Context) (bool, error) { return !s.isDown(), nil }
+
 func (s *Service) begin() (fate, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
