--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -7,7 +7,8 @@
 // strikes from several distinct upstreams is quarantined: it is rejected until its
 // strikes expire. Its strikes then explain the crashes that it caused, and the other
 // requests that ran on those upstreams at the time are no longer suspects. Hosts
-// exchange strikes in the membership messages.
+// exchange strikes in the membership messages, and on the users' platform also through
+// its store.
 package quarantine
 
 import (
