--- a/adapters/peerrpc/limits_test.go
+++ b/adapters/peerrpc/limits_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"greengagespoke/counters"
+	"greengagespoke/internal/endless"
 	"greengagespoke/internal/httplimit"
 	"greengagespoke/ports"
 )
@@ -37,8 +38,7 @@
 		t.Errorf("error %v, want one that says that the host gave no usable response", err)
 	}
 	<-done
-	// The kernel accepts some megabytes that the client does not read.
-	if limit := maxResponseBytes + 12<<20; accepted > limit {
+	if limit := maxResponseBytes + endless.MaxKernelBytes; accepted > limit {
 		t.Errorf("%d bytes accepted, want at most %d", accepted, limit)
 	}
 }
