quarantine: do not refuse requests that share all three crashes with another one

The first one whose strike arrived was taken for the cause.

At the limit a request is now quarantined only if no other one was on the same three upstreams. Both go on, alone on one host that all hosts agree on, until one of them completes or a fourth upstream crashes; so copies at several hosts cause one crash more, not one a host. Until the strikes of other hosts have had 0.5 s to arrive, a request at the limit is refused as overloaded, to come back then.

TestSharedCrashesDoNotQuarantine, TestUndecidedRequestRunsOnOneHost and TestRequestIsNotQuarantinedBeforeStrikesAreExchanged.

--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -267,3 +267,23 @@
 		t.Error("the strike of the second attempt is gone")
 	}
 }
+
+// A request that shares three crashes with another one runs on the host that decides on it
+// alone. It is not refused for long: it may have caused none of them.
+func TestUndecidedRequestRunsOnOneHost(t *testing.T) {
+	for _, decides := range []bool{true, false} {
+		f := newFixture(t, 1)
+		f.undecided = !decides
+		for _, process := range []domain.UpstreamID{"p@a/1", "q@a/1", "r@a/1"} {
+			f.gate.cfg.Quarantine.RecordCrash(process, []uint64{7, 8})
+		}
+		caller := &fakeCaller{}
+		req := newRequest("/once/x")
+		req.Fingerprint = 7
+		f.gate.Serve(context.Background(), req, caller)
+		if decides && caller.answer == nil || !decides && (f.count("call") > 0 || caller.refusal == nil ||
+			caller.refusal.Ran != domain.RanNo || caller.refusal.RetryAfter != turnRetryAfter) {
+			t.Errorf("host decides: %t; %d calls, answer %+v", decides, f.count("call"), caller)
+		}
+	}
+}
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -213,6 +213,8 @@
 	gate    *Gate
 	catalog *catalog.Catalog
 	leaving bool
+	// undecided makes another host decide on requests that may have caused crashes.
+	undecided bool
 }
 
 func route(prefix string, service traffic.ServiceName, kind traffic.RouteKind, attempts int) traffic.Route {
@@ -268,6 +270,7 @@
 	return NewGate(Config{
 		Zone: testZone, Catalog: c, Upstreams: f.fakeUpstreams, Budget: budget,
 		Quarantine: quarantine.New(quarantine.Config{Counters: counters.NewSet()}),
+		Decides:    func(uint64) bool { return !f.undecided },
 		Counters:   counters.NewSet(), Loads: stages.NewLoads(), Rejecting: func() bool { return f.leaving },
 	})
 }
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -38,6 +38,9 @@
 	Loads *stages.Loads
 	// Quarantine holds the requests that crash upstreams.
 	Quarantine *quarantine.List
+	// Decides reports whether this host, and no other one, runs a request of which it is
+	// undecided whether it caused three crashes.
+	Decides func(fingerprint uint64) bool
 	// Rejecting reports whether the host rejects new requests because it is stopping.
 	Rejecting func() bool
 }
--- a/dispatch/isolate.go
+++ b/dispatch/isolate.go
@@ -45,7 +45,9 @@
 }
 
 // beginAttempt checks before an attempt whether the request is quarantined, and waits for
-// its turn if the next crash would quarantine it. It returns a function that ends the
+// its turn if the next crash would quarantine it. If it is undecided whether the request
+// caused three crashes, one host alone runs it, so that copies at several hosts cause no
+// more than one further crash. It returns a function that ends the
 // turn, or a refusal that says that the attempt did not run.
 func (g *Gate) beginAttempt(ctx context.Context, f *inFlight) (end func(), refusal *domain.Refusal) {
 	quarantined := func() *domain.Refusal { return g.cfg.Quarantine.Check(f.req.Fingerprint) }
@@ -53,6 +55,9 @@
 		return func() {}, quarantined()
 	}
 	g.metrics.isolated.Add(1)
+	if g.cfg.Quarantine.Undecided(f.req.Fingerprint) && !g.cfg.Decides(f.req.Fingerprint) {
+		return nil, noTurnRefusal()
+	}
 	turn := g.isolator.turn(f.service)
 	now := time.Now()
 	giveUp := now.Add(min(maxTurnWait, time.Duration(maxTurnWaitShare*float64(f.answerDeadline.Sub(now)))))
--- a/platformentry/crash_test.go
+++ b/platformentry/crash_test.go
@@ -207,8 +207,8 @@
 			path = fmt.Sprintf("%sother-%d-%d", c.prefix, caller, n)
 		}
 		got := c.d.sendBody(h, "POST", path, nil, "")
-		if c.restartHosts && (got.status == 0 || strings.Contains(got.body, "no_upstream")) {
-			// The host is being restarted, or has not read the upstreams since.
+		if c.restartHosts && (got.status == 0 || strings.Contains(got.body, "store_down") || strings.Contains(got.body, "no_upstream")) {
+			// The host is being restarted, or has not read the store since.
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-kratos/kratos/v2"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/rotisserie/eris"
@@ -54,6 +57,9 @@
 	// membershipProbePeriod is the time between two membership probes of a host. At
 	// 340 hosts this costs 3 KB a second, the entire limit for control traffic.
 	membershipProbePeriod = 750 * time.Millisecond
+	// strikeExchangeTime is the time in which the strikes of a crash reach all hosts that
+	// are in touch with the store.
+	strikeExchangeTime = 500 * time.Millisecond
 	// peerIdleTimeout is how long an idle connection to another host is kept open.
 	peerIdleTimeout = 30 * time.Second
 	// maxIdlePeerConns limits the idle connections that are kept open to each host.
@@ -112,7 +118,7 @@
 	d.registry = registry.New(d.storeSource, d.catalog, d.hosts)
 	d.configPeers = registry.NewConfigPeers(d.catalog.Config, d.catalog)
 	d.quarantine = quarantine.New(quarantine.Config{
-		Counters: counterSet, OnObserved: func(s ports.Strike) { d.strikes.Observed(s) },
+		Counters: counterSet, DecisionDelay: strikeExchangeTime, OnObserved: func(s ports.Strike) { d.strikes.Observed(s) },
 	})
 	d.strikes = registry.NewStrikes(storeClient, d.storeSource, s.Host, d.quarantine, quarantine.DefaultStrikeTTL)
 	d.members = membership.New(membership.Config{
@@ -127,7 +133,7 @@
 	loads := stages.NewLoads()
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load,
-		Budget: d.retryBudget, Loads: loads, Quarantine: d.quarantine,
+		Budget: d.retryBudget, Loads: loads, Quarantine: d.quarantine, Decides: d.decides,
 	})
 	d.balancer = stages.New(stages.Config{
 		Self: s.Host, Services: d.modelServices, Members: d.members.Members, Loads: loads,
@@ -155,6 +161,18 @@
 	})
 }
 
+// decides reports whether this host is the one of all alive hosts that decides on a
+// fingerprint.
+func (d *Daemon) decides(fingerprint uint64) bool {
+	rank := func(host domain.HostID) uint64 {
+		return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(host), fingerprint))
+	}
+	own := rank(d.settings.Host)
+	return !slices.ContainsFunc(d.members.Members(), func(m domain.Member) bool {
+		return m.State == domain.MemberAlive && rank(m.ID) > own
+	})
+}
+
 // nonDeadHostCount returns the number of hosts that may be serving, which includes
 // suspect and leaving hosts.
 func (d *Daemon) nonDeadHostCount() int {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -65,6 +65,10 @@
 	// StrikeTTL is the time after its last crash for which the strikes of a request
 	// count; zero means DefaultStrikeTTL.
 	StrikeTTL time.Duration
+	// DecisionDelay is the time after a crash in which the strikes of other hosts may still
+	// arrive. A request at the limit is refused for that time only, as they may show that
+	// it is not the cause. Zero means none.
+	DecisionDelay time.Duration
 	// OnObserved is called with each strike that this host records itself, and when a
 	// suspect completes on this host. It must neither block nor call the list. It may be
 	// nil.
@@ -131,6 +135,10 @@
 		return nil
 	}
 	l.count(defRefused, 1)
+	if undecidedFor := l.cfg.DecisionDelay - time.Since(r.lastCrash()); undecidedFor > 0 {
+		return domain.Refuse(domain.RefusalOverloaded, "upstreams have just crashed while they ran this request",
+			"try again after the stated time").WithRetryAfter(undecidedFor)
+	}
 	return domain.Refuse(domain.RefusalQuarantined,
 		fmt.Sprintf("upstreams crashed %d times while they ran this request", r.crashes()),
 		"change the request, or send it again after the stated time").WithRetryAfter(l.cfg.StrikeTTL - time.Since(r.lastCrash()))
@@ -159,7 +167,16 @@
 	if r == nil || r.quarantined || !r.suspect() {
 		return false
 	}
-	return len(r.strikes) == l.cfg.StrikeLimit-1 || r.crashes() == l.cfg.StrikeLimit+extraCrashes-1
+	return len(r.strikes) >= l.cfg.StrikeLimit-1 || r.crashes() == l.cfg.StrikeLimit+extraCrashes-1
+}
+
+// Undecided reports whether the request has strikes enough to be quarantined, but shares
+// its crashes with another one.
+func (l *List) Undecided(fingerprint uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.unexpiredRecord(fingerprint)
+	return r != nil && !r.quarantined && r.suspect() && len(r.strikes) >= l.cfg.StrikeLimit
 }
 
 // RecordCrash records a crash: it adds a strike for the upstream to all requests that ran
@@ -209,15 +226,59 @@
 	r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return !s.crashedAt.After(completedAt) })
 	if len(r.strikes) == 0 {
 		l.remove(fingerprint)
-	} else if r.quarantined && !l.reachesLimit(r) {
+	}
+	l.judgeAll()
+}
+
+// reachesLimit reports whether the strikes of a request suffice to quarantine it. At the
+// limit they do not if another request was on all these upstreams when they crashed: one
+// more crash tells which of them is the cause.
+func (l *List) reachesLimit(fingerprint uint64, r *record) bool {
+	if len(r.strikes) > l.cfg.StrikeLimit || r.crashes() >= l.cfg.StrikeLimit+extraCrashes {
+		return true
+	}
+	if len(r.strikes) < l.cfg.StrikeLimit {
+		return false
+	}
+	for f, other := range l.records.entries {
+		if f != fingerprint && !slices.ContainsFunc(r.strikes, func(s strike) bool { return !other.sharesCrash(s) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// judge quarantines a request that reaches the limit, and releases one that no longer
+// does.
+func (l *List) judge(fingerprint uint64, r *record) {
+	reaches := l.reachesLimit(fingerprint, r)
+	switch {
+	case reaches && !r.quarantined:
+		r.quarantined = true
+		l.culprits[fingerprint] = r
+		l.count(defQuarantined, 1)
+		klog.InfoS("request quarantined", "fingerprint", fingerprint, "crashes", r.crashes())
+		l.explain(fingerprint, r)
+	case !reaches && r.quarantined:
 		r.quarantined = false
 		delete(l.culprits, fingerprint)
+		klog.InfoS("request no longer quarantined", "fingerprint", fingerprint, "crashes", r.crashes())
+		for _, other := range l.records.entries {
+			for i := range other.strikes {
+				other.strikes[i].explained = l.isExplained(other.strikes[i])
+			}
+		}
 	}
 }
 
-// reachesLimit reports whether a request with these strikes is quarantined.
-func (l *List) reachesLimit(r *record) bool {
-	return len(r.strikes) >= l.cfg.StrikeLimit || r.crashes() >= l.cfg.StrikeLimit+extraCrashes
+// judgeAll judges the requests that are at the limit, after the strikes of another one
+// have changed.
+func (l *List) judgeAll() {
+	for f, r := range l.records.entries {
+		if len(r.strikes) >= l.cfg.StrikeLimit || r.quarantined {
+			l.judge(f, r)
+		}
+	}
 }
 
 // recordStrike records a strike unless it is known, expired or older than the time at
@@ -233,7 +294,7 @@
 		r = &record{}
 		l.records.put(fingerprint, r)
 	}
-	if r.quarantined {
+	if len(r.strikes) > l.cfg.StrikeLimit || r.crashes() >= l.cfg.StrikeLimit+extraCrashes {
 		return false
 	}
 	s.explained = l.isExplained(s)
@@ -241,12 +302,10 @@
 		return false
 	}
 	l.count(defStrikes, 1)
-	if l.reachesLimit(r) {
-		r.quarantined = true
-		l.culprits[fingerprint] = r
-		l.count(defQuarantined, 1)
-		klog.InfoS("request quarantined", "fingerprint", fingerprint, "crashes", r.crashes())
-		l.explain(fingerprint, r)
+	if len(r.strikes) >= l.cfg.StrikeLimit {
+		l.judgeAll()
+	} else {
+		l.judge(fingerprint, r)
 	}
 	return true
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -171,3 +171,62 @@
 		t.Error("the strike is not known, or is sent on")
 	}
 }
+
+// Of two requests that were on the same three upstreams when these crashed, neither is
+// quarantined, in whichever order the strikes arrive: it takes the fourth crash, or the
+// completion of one of them.
+func TestSharedCrashesDoNotQuarantine(t *testing.T) {
+	const innocent, culprit = 1, 2
+	for _, completes := range []bool{true, false} {
+		for _, innocentFirst := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				l := newList()
+				batch := []uint64{culprit, innocent}
+				if innocentFirst {
+					batch = []uint64{innocent, culprit}
+				}
+				for _, process := range []domain.UpstreamID{"p1", "p2", "p3"} {
+					for _, f := range batch {
+						l.RecordCrash(process, []uint64{f})
+					}
+				}
+				for _, f := range batch {
+					if l.Check(f) != nil || !l.AtLastStrike(f) {
+						t.Fatalf("request %d is refused, or may run beside the other one", f)
+					}
+				}
+				time.Sleep(time.Second)
+				if completes {
+					l.Clear(innocent)
+				} else {
+					l.RecordCrash("p4", []uint64{culprit})
+				}
+				if l.Check(culprit) == nil {
+					t.Error("the culprit is not refused")
+				}
+				if l.Check(innocent) != nil || l.AtLastStrike(innocent) {
+					t.Error("the other request is refused or waits for turns")
+				}
+			})
+		}
+	}
+}
+
+// While the strikes of other hosts may still arrive, a request at the limit must be told to
+// come back soon, as they may show that it is not the cause.
+func TestRequestIsNotQuarantinedBeforeStrikesAreExchanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 500 * time.Millisecond
+		l := New(Config{Counters: counters.NewSet(), DecisionDelay: delay})
+		for _, process := range []domain.UpstreamID{"p1", "p2", "p3"} {
+			l.RecordCrash(process, []uint64{7})
+		}
+		if r := l.Check(7); r == nil || r.Kind != domain.RefusalOverloaded || r.Ran != domain.RanNo || r.RetryAfter <= 0 || r.RetryAfter > delay {
+			t.Errorf("refusal %+v right after the crash, want one that ends soon", r)
+		}
+		time.Sleep(delay)
+		if r := l.Check(7); r == nil || r.Kind != domain.RefusalQuarantined {
+			t.Errorf("refusal %+v after the exchange, want one of kind quarantined", r)
+		}
+	})
+}
