--- a/dispatch/isolate.go
+++ b/dispatch/isolate.go
@@ -47,8 +47,8 @@
 // beginAttempt checks before an attempt whether the request is quarantined, and waits for
 // its turn if the next crash would quarantine it. If it is undecided whether the request
 // caused three crashes, one host alone runs it, so that copies at several hosts cause no
-// more than one further crash. It returns a function that ends the
-// turn, or a refusal that says that the attempt did not run.
+// more than one further crash. It returns a function that ends the turn, or a refusal that
+// says that the attempt did not run.
 func (g *Gate) beginAttempt(ctx context.Context, f *inFlight) (end func(), refusal *domain.Refusal) {
 	quarantined := func() *domain.Refusal { return g.cfg.Quarantine.Check(f.req.Fingerprint) }
 	if !g.cfg.Quarantine.AtLastStrike(f.req.Fingerprint) {
