Log the parts of prompts on which upstreams crash

The lines of a crash named the fingerprint of the whole request only, so that crashes whose requests share one part of their prompts could not be told from crashes without a common cause. A line now names up to eight parts and how many upstreams the attempt has used, and quarantine_strikes_received counts the strikes that other hosts observed.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -10,6 +10,9 @@
 	"greengagespoke/traffic"
 )
 
+// maxLoggedParts bounds the parts of a prompt that a log line names.
+const maxLoggedParts = 8
+
 // observeFailure counts a call that failed because its connection was lost, and finds out
 // whether the upstream's process has ended. If so, the request gets a strike. A leaving
 // upstream closes its connections as planned, so its end is no crash.
@@ -24,6 +27,7 @@
 	g.metrics.crashes.Add(1)
 	g.cfg.Quarantine.RecordCrash(domain.UpstreamID(up.Incarnation().String()), []uint64{f.req.Fingerprint})
 	klog.InfoS("upstream crashed while it had a request", "request", f.req.ID, "fingerprint", f.req.Fingerprint,
+		"parts", f.req.Parts[:min(len(f.req.Parts), maxLoggedParts)], "upstreams_used", len(f.sent),
 		"upstream", up.ID, "role", up.Role, "process", up.Incarnation().String())
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -45,6 +45,8 @@
 var (
 	defStrikes = counters.Define("quarantine_strikes",
 		"strikes recorded, from crashes seen by this host and from other hosts")
+	defStrikesReceived = counters.Define("quarantine_strikes_received",
+		"strikes recorded that another host observed")
 	defCleared = counters.Define("quarantine_cleared",
 		"suspects cleared because they completed without a crash")
 	defExplained = counters.Define("quarantine_explained",
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -81,12 +81,15 @@
 			l.clearUntil(s.Fingerprint, now.Add(-s.Age))
 			continue
 		}
-		l.recordStrike(s.Fingerprint, strike{
+		recorded := l.recordStrike(s.Fingerprint, strike{
 			upstream:  s.Upstream,
 			crashedAt: now.Add(-s.Age),
 			suspects:  s.Suspects,
 			sendsLeft: sends,
 		})
+		if recorded {
+			l.count(defStrikesReceived, 1)
+		}
 	}
 }
 
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -24,6 +24,9 @@
 	// Fingerprint identifies what is sent and by whom. It is the same for each attempt
 	// of a caller, at any host, and 0 if it is unknown.
 	Fingerprint uint64
+	// Parts identify the parts of the prompt that other requests may share, in order, by
+	// PartFingerprint. There are at most MaxParts.
+	Parts []uint64
 	// Message holds the adapter's data for forwarding the request.
 	Message any
 }
@@ -40,6 +43,12 @@
 	return d.Sum64()
 }
 
+// MaxParts bounds the parts of a prompt that are told apart. Further ones are ignored.
+const MaxParts = 64
+
+// PartFingerprint returns the fingerprint of a part of a prompt: a hash of its identifier.
+func PartFingerprint(id string) uint64 { return xxhash.Sum64String(id) }
+
 // Answer is a complete response of an upstream.
 type Answer struct {
 	Status int
