--- a/platformentry/crash_test.go
+++ b/platformentry/crash_test.go
@@ -35,35 +35,50 @@
 	crashingPath = "crashing"
 )
 
+// crashingFleet is a deployment in which some requests crash the upstreams that run them.
+// A crashed upstream is replaced.
+type crashingFleet struct {
+	t *testing.T
+	d *deployment
+	// crash returns the fault of a request that crashes the upstream, or FaultNone.
+	crash func(r *http.Request) platformtest.Fault
+	// sameAddress restarts a crashed process with its identifier and address. Otherwise a
+	// process with others replaces it.
+	sameAddress bool
+	// replacementDelay is the time from a crash to the start of the next process.
+	replacementDelay time.Duration
+	// latency is the time that plain upstreams take for a request; events and pause are
+	// the length of a stream and the time between its events.
+	latency time.Duration
+	events  int
+	pause   time.Duration
+
+	mu sync.Mutex
+	// runs holds the time of each run of a crashing request, crashes the time of the
+	// first one on each process.
+	runs    []time.Time
+	crashes []time.Time
+	crashed map[*platformtest.Worker]bool
+}
+
 // crashTrial sends one request to each host again and again. It crashes each upstream
 // that runs it, and other callers send other requests meanwhile.
 type crashTrial struct {
+	crashingFleet
 	prefix    string
 	hosts     int
 	upstreams int
-	// sameAddress restarts a crashed process with its identifier and address. Otherwise a
-	// process with others replaces it.
-	sameAddress bool
 	// crashPrefill makes prefill engines crash, too.
 	crashPrefill bool
 	// cutOff keeps the hosts from learning of each other.
 	cutOff bool
 	// roaming sends the request to one host after the other instead of to all at once.
 	roaming bool
-	// latency is the time that plain upstreams take for a request. Other callers send a
-	// request again until it is answered, several at once.
-	latency time.Duration
+	// persistent callers send a request again until it is answered, several at once.
+	persistent bool
 	// restartHosts restarts all hosts after the third crash.
 	restartHosts bool
 
-	t  *testing.T
-	d  *deployment
-	mu sync.Mutex
-	// runs holds the time of each run of the crashing request, crashes the time of the
-	// first one on each process.
-	runs    []time.Time
-	crashes []time.Time
-	crashed map[*platformtest.Worker]bool
 	// answered and failed count the other requests, by whether they were sent later than
 	// contactTime after the third crash.
 	answered, failed map[bool]int
@@ -72,10 +87,11 @@
 	refused  int
 }
 
-// fault crashes the process of a worker for the crashing request.
-func (c *crashTrial) fault(w *platformtest.Worker, r *http.Request) platformtest.Fault {
-	if !strings.HasSuffix(r.URL.Path, crashingPath) || r.Header.Get(wire.HeaderStage) != "" && !c.crashPrefill {
-		return platformtest.FaultNone
+// fault returns the fault of a request, and counts those that crash the worker.
+func (c *crashingFleet) fault(w *platformtest.Worker, r *http.Request) platformtest.Fault {
+	fault := c.crash(r)
+	if fault == platformtest.FaultNone {
+		return fault
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -84,21 +100,21 @@
 		c.crashed[w] = true
 		c.crashes = append(c.crashes, time.Now())
 	}
-	return platformtest.FaultCrash
+	return fault
 }
 
 // addWorker starts a worker that is replaced when it crashes.
-func (c *crashTrial) addWorker(id, service, zone, stage string) {
+func (c *crashingFleet) addWorker(id, service, zone, stage string) {
 	c.watch(platformtest.NewWorker(id, service, zone, stage))
 }
 
-func (c *crashTrial) watch(w *platformtest.Worker) {
+func (c *crashingFleet) watch(w *platformtest.Worker) {
 	c.t.Cleanup(w.Close)
-	w.SetStream(5, 20*time.Millisecond)
+	w.SetStream(c.events, c.pause)
 	w.SetLatency(c.latency)
 	w.SetFault(func(r *http.Request) platformtest.Fault { return c.fault(w, r) })
 	w.OnCrash(func() {
-		time.AfterFunc(replacementDelay, func() { c.replace(w) })
+		time.AfterFunc(c.replacementDelay, func() { c.replace(w) })
 		if !c.sameAddress {
 			time.AfterFunc(entryTTL, func() { c.d.store.Delete(wire.TableUpstreams, w.ID) })
 		}
@@ -106,7 +122,7 @@
 	w.Register(c.d.store, "ready")
 }
 
-func (c *crashTrial) replace(w *platformtest.Worker) {
+func (c *crashingFleet) replace(w *platformtest.Worker) {
 	if !c.sameAddress {
 		c.addWorker(w.ID+"x", w.Service, w.Zone, w.Stage)
 		return
@@ -119,6 +135,30 @@
 	c.watch(next)
 }
 
+// start starts the store and publishes the configuration.
+func (c *crashingFleet) start(t *testing.T) {
+	t.Helper()
+	c.t, c.crashed = t, make(map[*platformtest.Worker]bool)
+	c.d = &deployment{t: t, store: platformtest.NewStore(), workers: make(map[string]*platformtest.Worker)}
+	t.Cleanup(c.d.store.Close)
+	c.d.configure(1, "ledger")
+}
+
+// startHosts starts hosts and waits until they serve requests.
+func (c *crashingFleet) startHosts(n int) []*host {
+	c.t.Helper()
+	for i := range n {
+		c.d.startHost(fmt.Sprintf("host-%d", i), []string{"z-a", "z-b"}[i%2])
+	}
+	hosts := slices.Clone(c.d.hosts)
+	for _, h := range hosts {
+		c.d.waitFor("upstreams known", func() bool {
+			return c.d.send(h, "GET", "/status/x", nil).status == 200 && c.d.send(h, "POST", "/draft/x", nil).status == 200
+		})
+	}
+	return hosts
+}
+
 // thirdCrash returns the time of the third crash, and whether it has happened.
 func (c *crashTrial) thirdCrash() (at time.Time, ok bool) {
 	c.mu.Lock()
@@ -143,28 +183,25 @@
 // play runs the trial.
 func (c *crashTrial) play(t *testing.T) {
 	t.Helper()
-	c.t, c.answered, c.failed, c.crashed = t, make(map[bool]int), make(map[bool]int), make(map[*platformtest.Worker]bool)
-	c.d = &deployment{t: t, store: platformtest.NewStore(), workers: make(map[string]*platformtest.Worker)}
-	t.Cleanup(c.d.store.Close)
+	c.answered, c.failed = make(map[bool]int), make(map[bool]int)
+	c.replacementDelay, c.events, c.pause = replacementDelay, 5, 20*time.Millisecond
+	c.crash = func(r *http.Request) platformtest.Fault {
+		if !strings.HasSuffix(r.URL.Path, crashingPath) || r.Header.Get(wire.HeaderStage) != "" && !c.crashPrefill {
+			return platformtest.FaultNone
+		}
+		return platformtest.FaultCrash
+	}
+	c.start(t)
 	if c.cutOff {
 		c.d.store.Hide("hosts")
 	}
-	c.d.configure(1, "ledger")
 	for i := range c.upstreams {
 		zone := []string{"z-a", "z-b"}[i%2]
 		c.addWorker(fmt.Sprintf("led-%d", i), "ledger", zone, "")
 		c.addWorker(fmt.Sprintf("dec-%d", i), "models", zone, "decode")
 		c.addWorker(fmt.Sprintf("pre-%d", i), "models", zone, "prefill")
 	}
-	for i := range c.hosts {
-		c.d.startHost(fmt.Sprintf("host-%d", i), []string{"z-a", "z-b"}[i%2])
-	}
-	hosts := slices.Clone(c.d.hosts)
-	for _, h := range hosts {
-		c.d.waitFor("upstreams known", func() bool {
-			return c.d.send(h, "GET", "/status/x", nil).status == 200 && c.d.send(h, "POST", "/draft/x", nil).status == 200
-		})
-	}
+	hosts := c.startHosts(c.hosts)
 	var callers sync.WaitGroup
 	if c.roaming {
 		callers.Go(func() { c.sendCrashing(hosts...) })
@@ -173,7 +210,7 @@
 		if !c.roaming {
 			callers.Go(func() { c.sendCrashing(h) })
 		}
-		if c.latency == 0 {
+		if !c.persistent {
 			callers.Go(func() { c.sendOthers(h, i) })
 			continue
 		}
@@ -313,9 +350,9 @@
 		"resumable-stream": {prefix: "/note/", hosts: 3, upstreams: 8},
 		"stream":           {prefix: "/draft/", hosts: 3, upstreams: 8},
 		"prefill":          {prefix: "/note/", hosts: 3, upstreams: 8, crashPrefill: true},
-		"same-address":     {prefix: "/status/", hosts: 2, upstreams: 4, sameAddress: true},
+		"same-address":     {prefix: "/status/", hosts: 2, upstreams: 4, crashingFleet: crashingFleet{sameAddress: true}},
 		"few-upstreams":    {prefix: "/status/", hosts: 3, upstreams: 2},
-		"persistent":       {prefix: "/status/", hosts: 3, upstreams: 1, latency: 300 * time.Millisecond},
+		"persistent":       {prefix: "/status/", hosts: 3, upstreams: 1, persistent: true, crashingFleet: crashingFleet{latency: 300 * time.Millisecond}},
 		"roaming":          {prefix: "/filing/", hosts: 6, upstreams: 8, roaming: true},
 		"hosts-cut-off":    {prefix: "/filing/", hosts: 6, upstreams: 8, roaming: true, cutOff: true},
 		"hosts-restarted":  {prefix: "/filing/", hosts: 3, upstreams: 8, restartHosts: true},
