soak: a part of prompts that crashes workers

Each run now also has a caller whose requests share one part of their prompts, first, second or third, which crashes decode workers; sound requests share the others. A run finds more than three such crashes later than 3 s after the fifth and the last fault, and sound requests that are refused as quarantined 3 s after the last fault or later.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"greengagespoke/domain"
 	"greengagespoke/internal/httplimit"
 	"greengagespoke/platform/wire"
 )
@@ -32,7 +33,8 @@
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		h := r.hosts[draw.IntN(len(r.hosts))]
-		r.request(client, h, kind(draw.IntN(len(kindPaths))), fmt.Sprintf("%08x%08x", n+1, i+1))
+		k, parts := kind(draw.IntN(len(kindPaths))), soundParts[draw.IntN(len(soundParts))]
+		r.request(client, h, k, fmt.Sprintf("%08x%08x", n+1, i+1), parts)
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(draw.Int64N(int64(2 * callerGap)))):
@@ -40,8 +42,12 @@
 	}
 }
 
-// request sends one request and checks its answer.
-func (r *run) request(client *http.Client, h *host, k kind, id string) {
+// soundParts are the shared parts of prompts of requests that crash no worker.
+var soundParts = []string{"aa", "aa,p1", "aa,p3", "aa,p1,p4,p2"}
+
+// request sends one request with these shared parts of a prompt, and checks its answer.
+func (r *run) request(client *http.Client, h *host, k kind, id, parts string) {
+	calm := r.calm()
 	lifeBefore, _ := h.calm()
 	version := r.seen(h, lifeBefore)
 	req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+kindPaths[k], strings.NewReader("body of "+id)) //nolint:noctx // The client has a timeout.
@@ -53,6 +59,7 @@
 	req.Header.Set(wire.HeaderRequestID, id)
 	req.Header.Set(wire.HeaderDeadline, strconv.FormatInt(callerWait.Milliseconds(), 10))
 	req.Header.Set(wire.HeaderTokenCount, "1000,300")
+	req.Header.Set(wire.HeaderPromptParts, promptParts(parts, id))
 	resp, err := client.Do(req)
 	if err != nil {
 		r.ledger.add(sent{id: id, kind: k, host: h.name})
@@ -63,6 +70,9 @@
 	s := sent{id: id, kind: k, host: h.name, status: resp.StatusCode}
 	s.promised = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	r.ledger.add(s)
+	if calm && strings.Contains(string(body), string(domain.RefusalQuarantined)) {
+		r.ledger.find("request %s with the parts %s was refused by %s as if it crashed workers", id, parts, h.name)
+	}
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return
 	}
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -22,10 +22,12 @@
 	crashingGap = 300 * time.Millisecond
 	// restartDelay is the time from a crash to the next process of the worker.
 	restartDelay = 600 * time.Millisecond
-	// crashLimit is the number of crashes after which a request must not run, maxLateRuns
-	// the number of runs that are allowed later than contactTime after that.
-	crashLimit  = 3
-	maxLateRuns = 3
+	// crashingRequestLimit is the number of crashes after which a crashing request must not
+	// run, crashingPartLimit that for requests with a crashing part of a prompt, and
+	// maxLateRuns the number of crashes that are allowed later than contactTime after that.
+	crashingRequestLimit = 3
+	crashingPartLimit    = 5
+	maxLateRuns          = 3
 	// contactTime is the time after the last fault from which hosts must act on what any
 	// of them has seen.
 	contactTime = 3 * time.Second
@@ -33,20 +35,17 @@
 	maxHostBytes = 128 << 20
 )
 
-// crashLog holds what one crashing request did to the workers of a run.
+// crashLog holds what the requests with one cause did to the workers of a run.
 type crashLog struct {
-	// path is the path of the request.
-	path string
+	// name names the requests in findings.
+	name string
+	// limit is the number of crashes after which they must not run.
+	limit int
 
 	mu      sync.Mutex
 	crashes []time.Time
 }
 
-// newCrashLog draws the kind of the crashing request.
-func newCrashLog(draw *rand.Rand) *crashLog {
-	return &crashLog{path: strings.TrimSuffix(kindPaths[kind(draw.IntN(len(kindPaths)))], "x") + "crashing"}
-}
-
 func (c *crashLog) add() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -54,34 +53,89 @@
 }
 
 // count returns the number of crashes, and of those later than contactTime after the
-// third crash and the last fault.
+// crash at the limit and the last fault.
 func (c *crashLog) count(lastFault time.Time) (all, late int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, at := range c.crashes {
-		if i >= crashLimit && at.Sub(lastFault) > contactTime && at.Sub(c.crashes[crashLimit-1]) > contactTime {
+		if i >= c.limit && at.Sub(lastFault) > contactTime && at.Sub(c.crashes[c.limit-1]) > contactTime {
 			late++
 		}
 	}
 	return len(c.crashes), late
 }
 
-// crashingCaller sends the request that crashes workers to random hosts until the context
-// ends.
-func (r *run) crashingCaller(ctx context.Context, draw *rand.Rand) {
+// crashingPart is the part of prompts that crashes decode workers.
+const crashingPart = "bad"
+
+// crasher is a caller whose requests crash workers: one request that is sent again and
+// again, or requests of which no two are alike but for a part of their prompts.
+type crasher struct {
+	crashLog
+	// path is the path of the request, or the start of the paths of all of them.
+	path string
+	// parts are the parts of the prompts before the last one; empty for one request.
+	parts string
+	ids   uint64
+}
+
+// newCrashers draws the callers whose requests crash workers.
+func newCrashers(draw *rand.Rand) (request, part *crasher) {
+	request = &crasher{
+		path:     strings.TrimSuffix(kindPaths[kind(draw.IntN(len(kindPaths)))], "x") + "crashing",
+		crashLog: crashLog{limit: crashingRequestLimit}, ids: 0xc0de,
+	}
+	request.name = "request " + request.path
+	part = &crasher{
+		path:     strings.TrimSuffix(kindPaths[kindDraft+kind(draw.IntN(2))], "x"),
+		parts:    []string{"bad", "aa,bad", "aa,p1,bad,p2"}[draw.IntN(3)],
+		crashLog: crashLog{limit: crashingPartLimit}, ids: 0xbad,
+	}
+	part.name = "requests to " + part.path + " with the parts " + part.parts
+	return request, part
+}
+
+// crashOn counts and selects the requests that crash a worker.
+func (r *run) crashOn(req *http.Request) bool {
+	switch {
+	case req.URL.Path == r.crashingRequest.path:
+		r.crashingRequest.add()
+		return true
+	case strings.Contains(req.Header.Get(wire.HeaderPromptParts), crashingPart) && req.Header.Get(wire.HeaderStage) == "":
+		r.crashingPart.add()
+		return true
+	default:
+		return false
+	}
+}
+
+// promptParts returns the value of the header of a prompt with the given shared parts.
+func promptParts(shared, own string) string {
+	return strings.ReplaceAll(shared, ",", ":500,") + ":500," + own + ":250"
+}
+
+// crash sends the requests that crash workers to random hosts until the context ends.
+func (r *run) crash(ctx context.Context, c *crasher, draw *rand.Rand) {
 	client := &http.Client{Transport: httplimit.Transport(&http.Transport{DisableCompression: true}), Timeout: callerWait}
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		h := r.hosts[draw.IntN(len(r.hosts))]
-		req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+r.crashLog.path, strings.NewReader("the same body")) //nolint:noctx // The client has a timeout.
+		path, body, id := c.path, "the same body", fmt.Sprintf("%016x", c.ids<<32+uint64(i))
+		if c.parts != "" {
+			path, body = c.path+id, "body of "+id
+		}
+		req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+path, strings.NewReader(body)) //nolint:noctx // The client has a timeout.
 		if err != nil {
-			r.ledger.find("the crashing request could not be made: %v", err)
+			r.ledger.find("%s could not be made: %v", c.name, err)
 			return
 		}
 		req.Host = hostName
-		req.Header.Set(wire.HeaderRequestID, fmt.Sprintf("%016x", uint64(0xc0de)<<32+uint64(i)))
+		req.Header.Set(wire.HeaderRequestID, id)
 		req.Header.Set(wire.HeaderDeadline, strconv.FormatInt(callerWait.Milliseconds(), 10))
 		req.Header.Set(wire.HeaderTokenCount, "1000,300")
+		if c.parts != "" {
+			req.Header.Set(wire.HeaderPromptParts, promptParts(c.parts, id))
+		}
 		if resp, err := client.Do(req); err == nil {
 			_ = resp.Body.Close()
 		}
@@ -95,11 +149,8 @@
 // addWorker starts to watch a worker for crashes, and registers it.
 func (r *run) addWorker(w *platformtest.Worker) {
 	w.SetStream(streamEvents, 15*time.Millisecond)
-	w.SetCrashPath(r.crashLog.path)
-	w.OnCrash(func() {
-		r.crashLog.add()
-		time.AfterFunc(restartDelay, func() { r.restartWorker(w) })
-	})
+	w.SetCrashOn(r.crashOn)
+	w.OnCrash(func() { time.AfterFunc(restartDelay, func() { r.restartWorker(w) }) })
 	w.Register(r.store, "ready")
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -118,10 +169,7 @@
 		r.ledger.find("worker %s not restarted: %v", w.ID, err)
 		return
 	}
-	next.OnCrash(func() {
-		r.crashLog.add()
-		time.AfterFunc(restartDelay, func() { r.restartWorker(next) })
-	})
+	next.OnCrash(func() { time.AfterFunc(restartDelay, func() { r.restartWorker(next) }) })
 	for i, known := range r.workers {
 		if known == w {
 			r.workers[i] = next
@@ -147,11 +195,13 @@
 	}
 }
 
-// checkCrashes checks that the crashing request did not run on after the faults.
+// checkCrashes checks that requests that crash workers did not run on after the faults.
 func (r *run) checkCrashes(lastFault time.Time) {
-	if all, late := r.crashLog.count(lastFault); late > maxLateRuns {
-		r.ledger.find("request %s crashed workers %d times, %d of them later than %s after the third crash and the last fault",
-			r.crashLog.path, all, late, contactTime)
+	for _, c := range []*crasher{r.crashingRequest, r.crashingPart} {
+		if all, late := c.count(lastFault); late > maxLateRuns {
+			r.ledger.find("%s crashed workers %d times, %d of them later than %s after crash %d and the last fault",
+				c.name, all, late, contactTime, c.limit)
+		}
 	}
 }
 
--- a/soak/run.go
+++ b/soak/run.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,7 +21,7 @@
 	stopLimit = 12 * time.Second
 )
 
-// crashDraw numbers the random draws of the crashing request, beyond those of callers.
+// crashDraw numbers the random draws of the crashing requests, beyond those of callers.
 const crashDraw = 1 << 32
 
 // Options describe a run.
@@ -38,8 +39,9 @@
 	Seed     uint64
 	Requests int
 	Faults   int
-	// Crashes is the number of crashes of workers.
-	Crashes int
+	// CrashesByRequest and CrashesByPart count the runs that crashed workers, of the request
+	// that does, and of requests with the part of a prompt that does.
+	CrashesByRequest, CrashesByPart int
 	// Statuses counts the answers by status; 0 stands for none.
 	Statuses map[int]int
 	Findings []string
@@ -47,7 +49,7 @@
 
 // String returns the report on one line, with a line for each finding.
 func (r Report) String() string {
-	out := fmt.Sprintf("seed %d: %d requests, %d faults, %d crashes, answers %v, %d findings", r.Seed, r.Requests, r.Faults, r.Crashes, r.Statuses, len(r.Findings))
+	out := fmt.Sprintf("seed %d: %d requests, %d faults, %d and %d crashes, answers %v, %d findings", r.Seed, r.Requests, r.Faults, r.CrashesByRequest, r.CrashesByPart, r.Statuses, len(r.Findings))
 	for _, f := range r.Findings {
 		out += "\n  " + f
 	}
@@ -56,14 +58,18 @@
 
 // run is one run on its way.
 type run struct {
-	options  Options
-	store    *platformtest.Store
-	workers  []*platformtest.Worker
-	hosts    []*host
-	ledger   *ledger
-	draw     *rand.Rand
-	faults   int
-	crashLog *crashLog
+	options Options
+	store   *platformtest.Store
+	workers []*platformtest.Worker
+	hosts   []*host
+	ledger  *ledger
+	draw    *rand.Rand
+	faults  int
+	// crashingRequest and crashingPart are callers whose requests crash workers.
+	crashingRequest, crashingPart *crasher
+
+	// healed is when the last fault ended, in Unix nanoseconds, or 0.
+	healed atomic.Int64
 
 	mu sync.Mutex
 	// ended holds the crashed processes of workers; closed says that none is started any
@@ -81,7 +87,7 @@
 		options: options, ledger: newLedger(), versions: make(map[string]int),
 		draw: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
-	r.crashLog = newCrashLog(rand.New(rand.NewPCG(options.Seed, crashDraw)))
+	r.crashingRequest, r.crashingPart = newCrashers(rand.New(rand.NewPCG(options.Seed, crashDraw)))
 	defer r.close()
 	if err := r.setUp(ctx); err != nil {
 		return Report{}, err
@@ -92,10 +98,12 @@
 		draw := rand.New(rand.NewPCG(options.Seed, uint64(n)+1))
 		callers.Go(func() { r.caller(calling, n, draw) })
 	}
-	callers.Go(func() { r.crashingCaller(calling, rand.New(rand.NewPCG(options.Seed, crashDraw+1))) })
+	callers.Go(func() { r.crash(calling, r.crashingRequest, rand.New(rand.NewPCG(options.Seed, crashDraw+1))) })
+	callers.Go(func() { r.crash(calling, r.crashingPart, rand.New(rand.NewPCG(options.Seed, crashDraw+2))) })
 	r.injectFaults(ctx)
 	r.heal()
 	lastFault := time.Now()
+	r.healed.Store(lastFault.UnixNano())
 	time.Sleep(settle)
 	r.checkMemory()
 	stop()
@@ -103,13 +111,20 @@
 	r.stopAll()
 	r.ledger.check(r.runsOf)
 	r.checkCrashes(lastFault)
-	crashes, _ := r.crashLog.count(lastFault)
+	byRequest, _ := r.crashingRequest.count(lastFault)
+	byPart, _ := r.crashingPart.count(lastFault)
 	return Report{
-		Crashes: crashes, Seed: options.Seed, Requests: len(r.ledger.requests), Faults: r.faults,
+		CrashesByRequest: byRequest, CrashesByPart: byPart, Seed: options.Seed, Requests: len(r.ledger.requests), Faults: r.faults,
 		Statuses: r.ledger.statuses, Findings: r.ledger.findings,
 	}, nil
 }
 
+// calm reports whether all hosts have had the time to act on what the faults left.
+func (r *run) calm() bool {
+	healed := r.healed.Load()
+	return healed != 0 && time.Since(time.Unix(0, healed)) > contactTime
+}
+
 // setUp starts the store, the workers and the hosts.
 func (r *run) setUp(ctx context.Context) error {
 	r.store = platformtest.NewStore()
@@ -120,6 +135,7 @@
 		platformtest.NewWorker("v2-1", "v2", "z-a", ""), platformtest.NewWorker("v2-2", "v2", "z-b", ""),
 		platformtest.NewWorker("pre-1", "models", "z-a", "prefill"), platformtest.NewWorker("pre-2", "models", "z-b", "prefill"),
 		platformtest.NewWorker("dec-1", "models", "z-a", "decode"), platformtest.NewWorker("dec-2", "models", "z-b", "decode"),
+		platformtest.NewWorker("dec-3", "models", "z-a", "decode"), platformtest.NewWorker("dec-4", "models", "z-b", "decode"),
 	} {
 		r.addWorker(w)
 	}
