Log the rate limits that upstreams state

Nothing told what an upstream had stated, so that it could not be seen whether a limit was read, spent by each host, or used up by other paths than the first attempts. A line names each change, and ratelimit_sent counts calls, prompts and streams to upstreams that state a limit. Nothing acts on it yet.

--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -13,6 +13,7 @@
 	"greengagespoke/counters"
 	"greengagespoke/domain"
 	"greengagespoke/quarantine"
+	"greengagespoke/ratelimit"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
@@ -270,6 +271,7 @@
 	return NewGate(Config{
 		Zone: testZone, Catalog: c, Upstreams: f.fakeUpstreams, Budget: budget,
 		Quarantine: quarantine.New(quarantine.Config{Counters: counters.NewSet()}),
+		RateLimits: ratelimit.New(counters.NewSet()),
 		Decides:    func(uint64) bool { return !f.undecided },
 		Counters:   counters.NewSet(), Loads: stages.NewLoads(), Rejecting: func() bool { return f.leaving },
 	})
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -11,6 +11,7 @@
 	"greengagespoke/counters"
 	"greengagespoke/domain"
 	"greengagespoke/quarantine"
+	"greengagespoke/ratelimit"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
@@ -38,6 +39,8 @@
 	Loads *stages.Loads
 	// Quarantine holds the requests that crash upstreams.
 	Quarantine *quarantine.List
+	// RateLimits holds the rate limits that upstreams state.
+	RateLimits *ratelimit.Limits
 	// Decides reports whether this host, and no other one, runs a request of which it is
 	// undecided whether it caused three crashes.
 	Decides func(fingerprint uint64) bool
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -368,6 +368,7 @@
 	t := g.stats.forUpstream(up)
 	t.callStarted()
 	began := time.Now()
+	g.cfg.RateLimits.Sent(up)
 	prompt, err := g.cfg.Upstreams.Prefill(ctx, up, n.req, n.sendOptions(nil, nil))
 	elapsed := time.Since(began)
 	g.metrics.prefill.Record(elapsed)
@@ -418,6 +419,7 @@
 // startStream sends the request to the decode engine. On a resumable route, the call
 // is canceled if the engine does not respond within streamSilenceTimeout.
 func (g *Gate) startStream(ctx context.Context, n *generation, reservation *traffic.Reservation, prompt *traffic.Prompt) (traffic.Stream, error) {
+	g.cfg.RateLimits.Sent(reservation.Engine)
 	options := n.sendOptions(reservation, prompt)
 	if !n.route.Resumable {
 		return g.cfg.Upstreams.Stream(ctx, reservation.Engine, n.req, options)
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -107,6 +107,7 @@
 	t := g.stats.forUpstream(up)
 	t.callStarted()
 	f.sent[up.ID], f.tried[up.ID] = true, true
+	g.cfg.RateLimits.Sent(up)
 	answer, err := g.cfg.Upstreams.Call(ctx, up, f.req, f.timeLeft(began))
 	elapsed := time.Since(began)
 	g.metrics.call.Record(elapsed)
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -35,6 +35,7 @@
 	"greengagespoke/platform/upstream"
 	"greengagespoke/ports"
 	"greengagespoke/quarantine"
+	"greengagespoke/ratelimit"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
@@ -131,9 +132,12 @@
 	d.storeSource.Bind(d.members.Members, peers.Relay)
 	d.catalog.OnApply(d.members.SetRevision)
 	loads := stages.NewLoads()
+	rateLimits := ratelimit.New(counterSet)
+	d.upstreams.OnRateLimit(rateLimits.Observe)
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load,
 		Budget: d.retryBudget, Loads: loads, Quarantine: d.quarantine, Decides: d.decides,
+		RateLimits: rateLimits,
 	})
 	d.balancer = stages.New(stages.Config{
 		Self: s.Host, Services: d.modelServices, Members: d.members.Members, Loads: loads,
