ratelimit: keep the rate limits that upstreams state, by all hosts together

Cause: the limit was forwarded to callers and read nowhere. A host by itself could not keep it either: with n hosts each one's share is below one request in some seconds.

Each limited upstream now has one granting host, on which hosts agree by their view of the members, with one token bucket. The others ask it before each request. Hosts pass on the newest statement with questions and replies, so that a limit that rose or ended is known within seconds, and it ends with its process.

A request takes another upstream meanwhile and does not wait for a grant; it is asked for ahead of the next one. If all upstreams are at their limits, the request is refused at once as not run. Calls, retries, prompts, streams and resumptions all take a grant before they are sent; a grant that was not used serves the next request.

--- a/adapters/peerrpc/peers.go
+++ b/adapters/peerrpc/peers.go
@@ -57,6 +57,7 @@
 	tables  tableClient
 	gate    gateClient
 	relay   relayClient
+	rates   rateClient
 }
 
 // NewPeers returns clients for the other hosts in the membership.
@@ -141,6 +142,15 @@
 	return unreachable{}
 }
 
+// Rates returns a client for the host that grants requests to an upstream with a rate
+// limit.
+func (p *Peers) Rates(host domain.HostID) ports.RatePeer {
+	if set, ok := p.remote(host); ok {
+		return set.rates
+	}
+	return unreachable{}
+}
+
 // localFor returns the local implementations if host is this host, and none
 // otherwise.
 func (p *Peers) localFor(host domain.HostID) Local {
@@ -189,5 +199,6 @@
 		tables:  tableClient{host, peerpb.NewTableServiceProtobufClient(base, p.client)},
 		gate:    gateClient{host, peerpb.NewGateServiceProtobufClient(base, p.client)},
 		relay:   relayClient{host, peerpb.NewRelayServiceProtobufClient(base, p.client)},
+		rates:   rateClient{host, peerpb.NewRateServiceProtobufClient(base, p.client)},
 	}
 }
--- a/adapters/peerrpc/peers_test.go
+++ b/adapters/peerrpc/peers_test.go
@@ -25,6 +25,7 @@
 	grant       domain.Grant
 	canceled    []string
 	announced   []domain.Change
+	asked       ports.RateRequest
 	unreachable
 }
 
@@ -61,6 +62,11 @@
 	return attempt > 1, f.err
 }
 
+func (f *fakeHost) Grant(_ context.Context, req ports.RateRequest) (ports.RateReply, error) {
+	f.asked = req
+	return ports.RateReply{Granted: true, Wait: time.Second, Limit: ports.RateLimit{Rate: 2.5, Age: time.Minute}}, f.err
+}
+
 type fixedMembers []domain.Member
 
 func (m fixedMembers) Self() domain.Member      { return domain.Member{} }
@@ -72,7 +78,7 @@
 	t.Helper()
 	sent, served = counters.NewSet(), counters.NewSet()
 	server := httptest.NewServer(NewServer(ServerConfig{
-		Keeper: host, Gossip: host, Tables: host, Gate: host, Key: testKey, Counters: served,
+		Keeper: host, Gossip: host, Tables: host, Gate: host, Rates: host, Key: testKey, Counters: served,
 	}))
 	t.Cleanup(server.Close)
 	address := strings.TrimPrefix(server.URL, "http://")
@@ -108,6 +114,12 @@
 	if err != nil || answer.Revision != 5 {
 		t.Errorf("probe: got %+v, %v", answer, err)
 	}
+	question := ports.RateRequest{From: "a", Process: "p", Limit: ports.RateLimit{Rate: 1.2, Age: time.Second}, ReportOnly: true}
+	reply, err := peers.Rates("b").Grant(ctx, question)
+	wantReply := ports.RateReply{Granted: true, Wait: time.Second, Limit: ports.RateLimit{Rate: 2.5, Age: time.Minute}}
+	if err != nil || host.asked != question || reply != wantReply {
+		t.Errorf("grant: got %+v, %v for %+v", reply, err, host.asked)
+	}
 	found, err := peers.GatePeer("b").Supersede(ctx, id.Key(), 2)
 	if err != nil || !found {
 		t.Errorf("supersede: got %v, %v", found, err)
--- a/adapters/peerrpc/server.go
+++ b/adapters/peerrpc/server.go
@@ -31,6 +31,7 @@
 	peerpb.TableServicePathPrefix:  serviceTables,
 	peerpb.GateServicePathPrefix:   serviceGate,
 	peerpb.RelayServicePathPrefix:  serviceRelay,
+	peerpb.RateServicePathPrefix:   serviceRates,
 }
 
 // ServerConfig holds the local implementations that other hosts may call, and the
@@ -43,6 +44,9 @@
 	// Relay serves store rows to other hosts. If it is nil, reads fail with
 	// ports.ErrRelayStale.
 	Relay ports.Relay
+	// Rates grants requests to upstreams with a rate limit. If it is nil, calls fail with
+	// ports.ErrPeerUnreachable.
+	Rates ports.RatePeer
 	// Key is the secret that all hosts share.
 	Key string
 	// ClockSkew is the largest accepted difference between the wall clocks of two
@@ -62,6 +66,7 @@
 		peerpb.NewTableServiceServer(tableService{cfg.Tables}),
 		peerpb.NewGateServiceServer(gateService{cfg.Gate}),
 		peerpb.NewRelayServiceServer(relayService{cfg.Relay}),
+		peerpb.NewRateServiceServer(rateService{cfg.Rates}),
 	} {
 		mux.Handle(s.PathPrefix(), s)
 	}
--- a/adapters/peerrpc/traffic.go
+++ b/adapters/peerrpc/traffic.go
@@ -18,9 +18,10 @@
 	serviceTables service = "tables"
 	serviceGate   service = "gate"
 	serviceRelay  service = "relay"
+	serviceRates  service = "rates"
 )
 
-var services = []service{serviceKeeper, serviceGossip, serviceTables, serviceGate, serviceRelay}
+var services = []service{serviceKeeper, serviceGossip, serviceTables, serviceGate, serviceRelay, serviceRates}
 
 // trafficDefs are the counter definitions of one service.
 type trafficDefs struct {
@@ -44,6 +45,7 @@
 		serviceTables: defineTraffic(serviceTables),
 		serviceGate:   defineTraffic(serviceGate),
 		serviceRelay:  defineTraffic(serviceRelay),
+		serviceRates:  defineTraffic(serviceRates),
 	}
 	defUnauthenticated = counters.Define("peerrpc_unauthenticated", "requests of other hosts refused because of a wrong key or clock")
 	defUnreachable     = counters.Define("peerrpc_unreachable", "calls to other hosts that got no answer")
--- a/adapters/peerrpc/unreachable.go
+++ b/adapters/peerrpc/unreachable.go
@@ -75,3 +75,8 @@
 func (unreachable) Read(context.Context, ports.RelayRequest) (ports.RelayPage, error) {
 	return ports.RelayPage{}, ports.ErrPeerUnreachable
 }
+
+// Grant implements ports.RatePeer.
+func (unreachable) Grant(context.Context, ports.RateRequest) (ports.RateReply, error) {
+	return ports.RateReply{}, ports.ErrPeerUnreachable
+}
--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -22,13 +22,14 @@
 	defCrashes              = counters.Define("dispatch_crashes", "calls during which the process of the upstream ended unplanned")
 	defCrashesUnknown       = counters.Define("dispatch_crashes_unknown", "lost connections to an upstream that could not be asked whether it crashed")
 	defIsolated             = counters.Define("dispatch_isolated", "attempts that waited for their turn because one more crash would quarantine the request")
+	defRateLimited          = counters.Define("dispatch_rate_limited", "requests that were rejected because all upstreams were at the rate limits that they state")
 	defPrefillWasted        = counters.Define("dispatch_prefill_wasted", "prefilled prompts that were discarded unused")
 )
 
 type metrics struct {
 	refused, answered, retried, streamsBroken, disconnected,
 	reservations, reservationsRejected, prefillsWasted, prefillBusy,
-	connectionsLost, crashes, crashesUnknown, isolated *expvar.Int
+	connectionsLost, crashes, crashesUnknown, isolated, rateLimited *expvar.Int
 	slotWait, prefill, call *counters.Histogram
 }
 
@@ -38,7 +39,7 @@
 		streamsBroken: set.Int(defStreamsBroken), disconnected: set.Int(defDisconnected),
 		reservations: set.Int(defReservations), reservationsRejected: set.Int(defReservationsRejected), prefillsWasted: set.Int(defPrefillWasted),
 		prefillBusy: set.Int(defPrefillBusy), connectionsLost: set.Int(defConnectionsLost),
-		crashes: set.Int(defCrashes), crashesUnknown: set.Int(defCrashesUnknown), isolated: set.Int(defIsolated),
+		crashes: set.Int(defCrashes), crashesUnknown: set.Int(defCrashesUnknown), isolated: set.Int(defIsolated), rateLimited: set.Int(defRateLimited),
 		slotWait: set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
 	}
 }
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -271,12 +271,19 @@
 	return NewGate(Config{
 		Zone: testZone, Catalog: c, Upstreams: f.fakeUpstreams, Budget: budget,
 		Quarantine: quarantine.New(quarantine.Config{Counters: counters.NewSet()}),
-		RateLimits: ratelimit.New(counters.NewSet()),
+		RateLimits: newRateLimits(),
 		Decides:    func(uint64) bool { return !f.undecided },
 		Counters:   counters.NewSet(), Loads: stages.NewLoads(), Rejecting: func() bool { return f.leaving },
 	})
 }
 
+// newRateLimits returns the rate limits of a host that is alone.
+func newRateLimits() *ratelimit.Limits {
+	return ratelimit.New(ratelimit.Config{
+		Self: "h", GrantingHost: func(domain.UpstreamID) domain.HostID { return "h" }, Counters: counters.NewSet(),
+	})
+}
+
 func (f *fixture) add(id domain.UpstreamID, service traffic.ServiceName, role domain.Role) {
 	f.catalog.Change([]traffic.UpstreamChange{{ID: id, Upstream: &traffic.Upstream{
 		ID: id, Service: service, Address: "10.0.0.1:1", Zone: testZone, Role: role, Slots: 6,
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -128,7 +128,7 @@
 		return refusal
 	}
 	if refusal := g.quarantined(n); refusal != nil {
-		g.discardReservation(reservation)
+		g.returnReservation(reservation)
 		return refusal
 	}
 	n.reservedAt = time.Now()
@@ -142,18 +142,18 @@
 	}()
 	prompt := g.prefillFor(ctx, n, reservation)
 	if ctx.Err() != nil {
-		g.discardReservation(reservation)
+		g.returnReservation(reservation)
 		g.discardPrompt(prompt)
 		return n.endedRefusal(ctx)
 	}
 	if refusal := g.quarantined(n); refusal != nil {
-		g.discardReservation(reservation)
+		g.returnReservation(reservation)
 		g.discardPrompt(prompt)
 		return refusal
 	}
 	// The first prefill call is free only if an engine prefilled the prompt.
 	if n.streamCalls == 0 && !n.prefilled && !g.takeRetry(n, n.prefillCalls) {
-		g.discardReservation(reservation)
+		g.returnReservation(reservation)
 		return overBudgetRefusal(n)
 	}
 	prefillEnd := time.Now()
@@ -250,11 +250,12 @@
 // reserveSlot reserves a slot. A broken stream is resumed on the same engine if
 // that engine still takes new work and grants a slot, because it has the prompt.
 func (g *Gate) reserveSlot(ctx context.Context, n *generation) (*traffic.Reservation, *domain.Refusal) {
-	if n.lastEngine != nil && g.cfg.Catalog.Current(n.lastEngine) {
+	if n.lastEngine != nil && g.cfg.Catalog.Current(n.lastEngine) && g.cfg.RateLimits.Take(ctx, n.lastEngine) {
 		ttl := min(reservationTTL, n.engine.ReservationTTL)
 		if r, err := g.reserve(ctx, n.inFlight, n.lastEngine, estimateTokens(n.req), ttl); err == nil {
 			return r, nil
 		}
+		g.cfg.RateLimits.GiveBack(n.lastEngine)
 	}
 	return g.slots.acquire(ctx, n.inFlight)
 }
@@ -298,6 +299,12 @@
 	go g.cfg.Upstreams.ReleaseReservation(context.Background(), reservation)
 }
 
+// returnReservation releases a reservation whose engine was not sent the request.
+func (g *Gate) returnReservation(reservation *traffic.Reservation) {
+	g.cfg.RateLimits.GiveBack(reservation.Engine)
+	g.discardReservation(reservation)
+}
+
 // discardPrompt releases an unused prompt. It does nothing if prompt is nil.
 func (g *Gate) discardPrompt(prompt *traffic.Prompt) {
 	if prompt != nil {
@@ -332,7 +339,7 @@
 			return nil
 		}
 		up, delay := g.choosePrefillEngine(ctx, n, engines, reservation.Engine.Zone)
-		if up == nil || !g.takeRetry(n, n.prefillCalls) {
+		if up == nil {
 			return nil
 		}
 		if maxDelay := g.prefillSelector.maxPrefillDelay(n.service, n.req.PromptTokens); maxDelay > 0 && delay > maxDelay {
@@ -340,6 +347,13 @@
 			return nil
 		}
 		tried[up.ID] = true
+		if !g.cfg.RateLimits.Take(ctx, up) {
+			continue
+		}
+		if !g.takeRetry(n, n.prefillCalls) {
+			g.cfg.RateLimits.GiveBack(up)
+			return nil
+		}
 		n.prefillCalls++
 		prompt, err := g.prefill(ctx, n, up)
 		if err == nil {
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"greengagespoke/domain"
@@ -24,6 +26,9 @@
 	// maxTieBreakCost bounds the random cost that breaks ties between equal
 	// upstreams, so that hosts do not all choose the same one.
 	maxTieBreakCost = 5 * time.Millisecond
+	// maxRateRetryAfter is the longest retry delay that is reported if all upstreams are at
+	// their rate limits.
+	maxRateRetryAfter = 3 * time.Second
 )
 
 // candidate is an upstream with its health as this host observed it.
@@ -85,6 +90,45 @@
 	return best
 }
 
+// takeCheapest returns the cheapest candidate that its rate limit allows to be sent a
+// request. limited reports that only rate limits keep the request from the candidates.
+// Only if there is no other one, the request waits for the grant of a limited candidate.
+func (g *Gate) takeCheapest(ctx context.Context, from []candidate) (up *traffic.Upstream, limited bool) {
+	remaining := slices.Clone(from)
+	var notReady []*traffic.Upstream
+	for len(remaining) > 0 && up == nil {
+		next := pickCheapest(remaining, g.cfg.Zone)
+		remaining = slices.DeleteFunc(remaining, func(c candidate) bool { return c.up == next })
+		if g.cfg.RateLimits.TakeReady(next) {
+			up = next
+		} else {
+			notReady = append(notReady, next)
+		}
+	}
+	for _, next := range notReady {
+		if up != nil {
+			g.cfg.RateLimits.Prefetch(next)
+		} else if g.cfg.RateLimits.Take(ctx, next) {
+			up = next
+		}
+	}
+	return up, up == nil && len(from) > 0
+}
+
+// rateLimitedRefusal is the refusal of a request if all upstreams that might run it are at
+// the rate limits that they state.
+func (g *Gate) rateLimitedRefusal(service traffic.ServiceName) *domain.Refusal {
+	g.metrics.rateLimited.Add(1)
+	wait := maxRateRetryAfter
+	for _, up := range g.cfg.Catalog.Ready(service) {
+		if rate, limited := g.cfg.RateLimits.Rate(up); limited {
+			wait = min(wait, time.Duration(float64(time.Second)/rate))
+		}
+	}
+	return domain.Refuse(domain.RefusalOverloaded, "the upstreams of service "+string(service)+" are at the rate limits that they state",
+		"try again after the stated time").WithRetryAfter(max(busyRetryAfter, wait))
+}
+
 // chooseService picks a service at random, weighted by the route's shares. It
 // returns "" if the weights add up to 0.
 func chooseService(route *traffic.Route) traffic.ServiceName {
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -145,9 +145,13 @@
 		}
 		now := time.Now()
 		if q.isFirst(w, now) {
-			if r := p.tryReserve(ctx, f, q, now, now.After(w.onTimeUntil)); r != nil {
+			r, limited := p.tryReserve(ctx, f, q, now, now.After(w.onTimeUntil))
+			if r != nil {
 				return r, nil
 			}
+			if limited {
+				return nil, p.gate.rateLimitedRefusal(f.service)
+			}
 		}
 		if now.After(giveUp) {
 			return nil, p.overloadedRefusal(f, q)
@@ -241,8 +245,8 @@
 }
 
 // tryReserve asks a few engines for a slot, the cheapest first. It returns nil if
-// none grants it.
-func (p *slotReserver) tryReserve(ctx context.Context, f *inFlight, q *slotQueue, now time.Time, late bool) *traffic.Reservation {
+// none grants it. limited reports that only rate limits keep the request from all engines.
+func (p *slotReserver) tryReserve(ctx context.Context, f *inFlight, q *slotQueue, now time.Time, late bool) (r *traffic.Reservation, limited bool) {
 	g := p.gate
 	needed := estimateTokens(f.req)
 	headroom := int(growthHeadroomFactor * float64(f.req.MaxOutput))
@@ -251,12 +255,23 @@
 	}
 	// The headroom must not keep a request that fits from an empty engine.
 	tokens := max(needed, min(needed+headroom, f.engine.MemoryTokens))
+	full := false
 	remaining := g.candidates(f.service, now, func(up *traffic.Upstream) bool {
-		return up.Role == domain.RoleDecode && f.maySend(up) && !q.isFull(up.ID, tokens, now)
+		if up.Role != domain.RoleDecode || !f.maySend(up) {
+			return false
+		}
+		if q.isFull(up.ID, tokens, now) {
+			full = true
+			return false
+		}
+		return true
 	})
 	ttl := min(reservationTTL, f.engine.ReservationTTL)
 	for range min(maxEnginesPerTry, len(remaining)) {
-		up := pickCheapest(remaining, g.cfg.Zone)
+		up, limited := g.takeCheapest(ctx, remaining)
+		if up == nil {
+			return nil, limited && !full
+		}
 		remaining = slices.DeleteFunc(remaining, func(c candidate) bool { return c.up == up })
 		r, err := g.reserve(ctx, f, up, tokens, ttl)
 		if err == nil {
@@ -266,14 +281,16 @@
 			r, err = g.reserve(ctx, f, up, needed, ttl)
 		}
 		if err == nil {
-			return r
+			return r, false
 		}
+		full = true
+		g.cfg.RateLimits.GiveBack(up)
 		q.markFull(up.ID, tokens, time.Now())
 		if ctx.Err() != nil {
-			return nil
+			return nil, false
 		}
 	}
-	return nil
+	return nil, false
 }
 
 // reserve asks one engine for a slot.
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -31,6 +31,8 @@
 	// attempt may have been executed.
 	lastErr    *traffic.CallError
 	mayHaveRun bool
+	// rateLimited means that only rate limits kept the last attempt from an upstream.
+	rateLimited bool
 	// notBegun is the reason why the last attempt did not begin, or nil.
 	notBegun *domain.Refusal
 }
@@ -43,7 +45,7 @@
 		if end, c.notBegun = g.beginAttempt(ctx, f); c.notBegun != nil {
 			break
 		}
-		up := g.nextUpstream(c)
+		up := g.nextUpstream(ctx, c)
 		if up == nil {
 			end()
 			break
@@ -72,22 +74,23 @@
 		caller.Answer(c.answer)
 		return
 	}
-	g.refuse(f.req, caller, c.refusal())
+	g.refuse(f.req, caller, g.plainRefusal(c))
 }
 
 // nextUpstream returns the upstream of the next attempt, or nil if there is none or
 // no further attempt is allowed.
-func (g *Gate) nextUpstream(c *plainCall) *traffic.Upstream {
+func (g *Gate) nextUpstream(ctx context.Context, c *plainCall) *traffic.Upstream {
 	now := time.Now()
-	fresh := g.candidates(c.service, now, func(up *traffic.Upstream) bool { return !c.tried[up.ID] })
-	up := pickCheapest(fresh, g.cfg.Zone)
-	if up == nil || !c.maySend(up) {
+	fresh := g.candidates(c.service, now, func(up *traffic.Upstream) bool { return !c.tried[up.ID] && c.maySend(up) })
+	var up *traffic.Upstream
+	if up, c.rateLimited = g.takeCheapest(ctx, fresh); up == nil {
 		return nil
 	}
 	if c.delivered == 0 {
 		return up
 	}
 	if !g.cfg.Budget.TakeRetry(c.service, now) {
+		g.cfg.RateLimits.GiveBack(up)
 		klog.InfoS("retry budget used up", "request", c.req.ID, "service", c.service)
 		return nil
 	}
@@ -148,8 +151,8 @@
 	}
 }
 
-// refusal returns the reason why the call got no response.
-func (c *plainCall) refusal() *domain.Refusal {
+// plainRefusal returns the reason why a call got no response.
+func (g *Gate) plainRefusal(c *plainCall) *domain.Refusal {
 	switch {
 	case c.mayHaveRun && !time.Now().Before(c.answerDeadline):
 		return domain.Refuse(domain.RefusalDeadline, "no upstream answered in time",
@@ -159,6 +162,8 @@
 			"check whether the call took effect before sending it again").WithRan(domain.RanUnknown)
 	case c.notBegun != nil:
 		return c.notBegun
+	case c.rateLimited:
+		return g.rateLimitedRefusal(c.service)
 	case c.lastErr == nil:
 		return noUpstreamRefusal(c.service)
 	default:
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -91,6 +90,8 @@
 	upstreams   *upstream.Client
 	quarantine  *quarantine.List
 	strikes     *registry.Strikes
+	rateLimits  *ratelimit.Limits
+	peers       *peerrpc.Peers
 	balancer    *stages.Balancer
 	app         *kratos.App
 
@@ -126,18 +127,24 @@
 		Self: self, HostList: d.hosts, Counters: counterSet, OnRevision: d.configPeers.OnPeerVersion, ProbePeriod: membershipProbePeriod,
 		Strikes: d.quarantine,
 	})
-	peers := d.newPeers(counterSet)
+	d.rateLimits = ratelimit.New(ratelimit.Config{
+		Self: s.Host, GrantingHost: func(process domain.UpstreamID) domain.HostID {
+			return d.preferredHost(xxhash.Sum64String(string(process)))
+		},
+		Peer: func(host domain.HostID) ports.RatePeer { return d.peers.Rates(host) }, Counters: counterSet,
+	})
+	d.peers = d.newPeers(counterSet)
+	peers := d.peers
 	d.members.Bind(peers)
 	d.configPeers.Bind(peers)
 	d.storeSource.Bind(d.members.Members, peers.Relay)
 	d.catalog.OnApply(d.members.SetRevision)
 	loads := stages.NewLoads()
-	rateLimits := ratelimit.New(counterSet)
-	d.upstreams.OnRateLimit(rateLimits.Observe)
+	d.upstreams.OnRateLimit(d.rateLimits.Observe)
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load,
 		Budget: d.retryBudget, Loads: loads, Quarantine: d.quarantine, Decides: d.decides,
-		RateLimits: rateLimits,
+		RateLimits: d.rateLimits,
 	})
 	d.balancer = stages.New(stages.Config{
 		Self: s.Host, Services: d.modelServices, Members: d.members.Members, Loads: loads,
@@ -168,13 +175,23 @@
 // decides reports whether this host is the one of all alive hosts that decides on a
 // fingerprint.
 func (d *Daemon) decides(fingerprint uint64) bool {
+	return d.preferredHost(fingerprint) == d.settings.Host
+}
+
+// preferredHost returns the host of all alive ones that hosts with the same view of the
+// members agree on for a key.
+func (d *Daemon) preferredHost(key uint64) domain.HostID {
 	rank := func(host domain.HostID) uint64 {
-		return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(host), fingerprint))
+		return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(host), key))
 	}
-	own := rank(d.settings.Host)
-	return !slices.ContainsFunc(d.members.Members(), func(m domain.Member) bool {
-		return m.State == domain.MemberAlive && rank(m.ID) > own
-	})
+	best := d.settings.Host
+	highest := rank(best)
+	for _, m := range d.members.Members() {
+		if r := rank(m.ID); m.State == domain.MemberAlive && r > highest {
+			best, highest = m.ID, r
+		}
+	}
+	return best
 }
 
 // nonDeadHostCount returns the number of hosts that may be serving, which includes
@@ -208,6 +225,7 @@
 	})
 	group.Go(func() error { return d.registry.Run(loopCtx) })
 	group.Go(func() error { return d.strikes.Run(loopCtx) })
+	group.Go(func() error { return d.rateLimits.Run(loopCtx) })
 	group.Go(func() error { return d.upstreams.Run(loopCtx) })
 	group.Go(func() error { return d.members.Run(loopCtx) })
 	if d.settings.OrderLease > 0 {
@@ -284,7 +302,7 @@
 	peers := khttp.NewServer(khttp.Address(d.settings.Peers), khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler {
 			return peerrpc.NewServer(peerrpc.ServerConfig{
-				Gossip: d.members, Tables: d.configPeers, Relay: d.storeSource.Mirror(),
+				Gossip: d.members, Tables: d.configPeers, Relay: d.storeSource.Mirror(), Rates: d.rateLimits,
 				Key: peerKey, ClockSkew: maxClockSkew, Counters: counterSet,
 			})
 		}))
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -1,78 +1,378 @@
-// Package ratelimit keeps the rate limits that upstreams state.
+// Package ratelimit keeps the rate limits that upstreams state, which hold for all hosts
+// together.
+//
+// One host grants the requests to an upstream with a limit, from one token bucket, so that
+// any number of hosts can use the whole of a low limit. The others ask it before each
+// request. A host that is denied does not ask again for a while, which bounds the messages.
+// Hosts agree on the granting host by their view of the members. If it cannot be reached,
+// nothing is granted until it is replaced. The hosts pass on what upstreams state with
+// their requests and replies, so that the newest statement holds for all of them.
 package ratelimit
 
 import (
+	"context"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"k8s.io/klog/v2"
 
 	"greengagespoke/counters"
+	"greengagespoke/domain"
 	"greengagespoke/internal/shard"
+	"greengagespoke/ports"
 	"greengagespoke/traffic"
 )
 
+const (
+	// minRate is the least rate at which a limited upstream is used, in requests a second.
+	// Without any request nobody would learn that its limit has ended.
+	minRate = 0.1
+	// askTimeout bounds the question to the granting host: several round trips between
+	// availability zones.
+	askTimeout = 80 * time.Millisecond
+	// askRetryDelay is the wait after a question that was not answered.
+	askRetryDelay = time.Second
+	// waitJitter is the fraction by which waits are shortened at random, so that hosts do
+	// not ask at once.
+	waitJitter = 0.5
+	// unusedGrantTTL is how long a grant that was not used may be used for another request.
+	unusedGrantTTL = time.Second
+	// stateTTL is how long the state of a process that is not called is kept.
+	stateTTL = 10 * time.Minute
+	// cleanupInterval is the time between two removals of such states.
+	cleanupInterval = time.Minute
+)
+
 var (
-	defStated = counters.Define("ratelimit_stated", "changes of the rate limits that upstreams state in responses to this host")
+	defStated = counters.Define("ratelimit_stated", "changes of the rate limits that upstreams state, in responses or as other hosts report")
 	defSent   = counters.Define("ratelimit_sent", "requests sent to upstreams that have stated a rate limit: calls, prompts and streams")
+	defAsked  = counters.Define("ratelimit_asked", "requests to upstreams with a rate limit for which this host asked the granting host, itself included")
+	defDenied = counters.Define("ratelimit_denied", "those that were not granted, because of the limit or as the granting host did not answer")
 )
 
-// Limits keeps the rate limit that each upstream stated last. It is safe for concurrent
-// use.
+// Config holds the dependencies of Limits.
+type Config struct {
+	Self domain.HostID
+	// GrantingHost returns the host that grants the requests to a process.
+	GrantingHost func(process domain.UpstreamID) domain.HostID
+	// Peer returns a client for another host.
+	Peer     func(host domain.HostID) ports.RatePeer
+	Counters *counters.Set
+}
+
+// Limits decides which requests may be sent to upstreams that state a rate limit. It
+// implements ports.RatePeer. It is safe for concurrent use.
 type Limits struct {
-	counters *counters.Set
-	states   *shard.Map[traffic.Incarnation, *state]
+	cfg    Config
+	states *shard.Map[domain.UpstreamID, *state]
+	// known is the number of states. While it is 0, as usual, nothing is looked up.
+	known atomic.Int64
+
+	mu sync.Mutex
+	// pending holds the processes whose granting hosts Run is to ask for a request, or only
+	// to tell the limit if the value is false.
+	pending map[domain.UpstreamID]bool
+	// wake is signalled when pending grows.
+	wake chan struct{}
 }
 
 // state is what is known of one process of an upstream.
 type state struct {
+	process domain.UpstreamID
+
 	mu sync.Mutex
-	// rate is the stated limit in requests a second; 0 if there is none.
-	rate float64
+	// rate is the stated limit in requests a second; 0 if there is none. It was stated at
+	// statedAt.
+	rate     float64
+	statedAt time.Time
+	lastUsed time.Time
+	// asking means that a question is being answered. Until deniedUntil none is asked.
+	asking      bool
+	deniedUntil time.Time
+	// unusedUntil is until when a grant that was not used is valid.
+	unusedUntil time.Time
+	bucket      bucket
 }
 
-// New returns an empty Limits.
-func New(set *counters.Set) *Limits {
-	return &Limits{counters: set, states: shard.NewMap[traffic.Incarnation, *state]()}
+// New returns a Limits that knows no limits.
+func New(cfg Config) *Limits {
+	return &Limits{
+		cfg: cfg, states: shard.NewMap[domain.UpstreamID, *state](),
+		pending: make(map[domain.UpstreamID]bool), wake: make(chan struct{}, 1),
+	}
+}
+
+func processOf(up *traffic.Upstream) domain.UpstreamID {
+	return domain.UpstreamID(up.Incarnation().String())
 }
 
 // Observe records that an upstream stated a rate limit in a response, in requests a second,
-// or that it states none.
+// or that it states none. It does not block.
 func (l *Limits) Observe(up *traffic.Upstream, rate float64, stated bool) {
-	s, known := l.states.Load(up.Incarnation())
-	if !known && !stated {
+	s := l.lookUp(up)
+	if s == nil && !stated {
 		return
 	}
-	if !known {
-		s = l.state(up.Incarnation())
+	if stated {
+		s, rate = l.state(processOf(up)), max(rate, minRate)
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	changed := l.setRate(s, rate, time.Now())
+	s.mu.Unlock()
+	if changed && l.cfg.GrantingHost(s.process) != l.cfg.Self {
+		l.enqueue(s.process, false)
+	}
+}
+
+// setRate sets the rate unless a newer statement is known, and reports whether it changed.
+// The caller holds the lock of the state.
+func (l *Limits) setRate(s *state, rate float64, statedAt time.Time) bool {
+	if statedAt.Before(s.statedAt) {
+		return false
+	}
+	s.statedAt = statedAt
 	if s.rate == rate {
-		return
+		return false
 	}
-	l.counters.Int(defStated).Add(1)
-	klog.InfoS("upstream states a rate limit", "upstream", up.ID, "process", up.Incarnation().String(), "rate", rate, "before", s.rate, "stated", stated)
+	l.cfg.Counters.Int(defStated).Add(1)
+	klog.InfoS("upstream states a rate limit", "process", s.process, "rate", rate, "before", s.rate)
 	s.rate = rate
+	// What was denied under the earlier limit may be granted now.
+	s.deniedUntil = time.Time{}
+	return true
 }
 
 // Sent counts a request that is sent to an upstream.
 func (l *Limits) Sent(up *traffic.Upstream) {
-	if s, known := l.states.Load(up.Incarnation()); known && s.limited() {
-		l.counters.Int(defSent).Add(1)
+	if _, limited := l.Rate(up); limited {
+		l.cfg.Counters.Int(defSent).Add(1)
+	}
+}
+
+// Rate returns the rate limit of an upstream in requests a second. limited is false if it
+// states none.
+func (l *Limits) Rate(up *traffic.Upstream) (rate float64, limited bool) {
+	s := l.lookUp(up)
+	if s == nil {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rate, s.rate > 0
+}
+
+// TakeReady reports whether a request may be sent to an upstream without asking another
+// host: it has no limit, or a grant is left. A grant that is not used must be given back.
+func (l *Limits) TakeReady(up *traffic.Upstream) bool {
+	s := l.lookUp(up)
+	return s == nil || s.takeReady(time.Now())
+}
+
+func (s *state) takeReady(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastUsed = now
+	if s.rate == 0 {
+		return true
+	}
+	left := now.Before(s.unusedUntil)
+	s.unusedUntil = time.Time{}
+	return left
+}
+
+// Prefetch asks for a grant in the background, for the next request. It does not block.
+func (l *Limits) Prefetch(up *traffic.Upstream) {
+	if s := l.lookUp(up); s != nil && s.beginAsking(time.Now()) {
+		l.enqueue(s.process, true)
+	}
+}
+
+// Take reports whether a request may be sent to an upstream. It may ask another host, and
+// blocks for a bounded time. A grant that is not used must be given back.
+func (l *Limits) Take(ctx context.Context, up *traffic.Upstream) bool {
+	s := l.lookUp(up)
+	if s == nil || s.takeReady(time.Now()) {
+		return true
+	}
+	return s.beginAsking(time.Now()) && l.askFor(ctx, s)
+}
+
+// beginAsking reports whether the granting host may be asked now. If so, askFor must be
+// called.
+func (s *state) beginAsking(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rate == 0 || s.asking || now.Before(s.deniedUntil) || now.Before(s.unusedUntil) {
+		return false
+	}
+	s.asking = true
+	return true
+}
+
+// askFor asks for one request to a process and reports whether it is granted.
+func (l *Limits) askFor(ctx context.Context, s *state) bool {
+	l.cfg.Counters.Int(defAsked).Add(1)
+	reply := l.ask(ctx, s, false)
+	if !reply.Granted {
+		l.cfg.Counters.Int(defDenied).Add(1)
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asking = false
+	if !reply.Granted {
+		wait := time.Duration((1 - waitJitter*rand.Float64()) * float64(reply.Wait))
+		s.deniedUntil = time.Now().Add(wait)
+	}
+	return reply.Granted
 }
 
-func (s *state) limited() bool {
+func (s *state) limit(now time.Time) ports.RateLimit {
+	return ports.RateLimit{Rate: s.rate, Age: now.Sub(s.statedAt)}
+}
+
+// ask asks the granting host of a process, which may be this one, and takes over the limit
+// that it knows.
+func (l *Limits) ask(ctx context.Context, s *state, reportOnly bool) ports.RateReply {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	s.mu.Lock()
+	req := ports.RateRequest{From: l.cfg.Self, Process: s.process, Limit: s.limit(time.Now()), ReportOnly: reportOnly}
+	s.mu.Unlock()
+	host := l.cfg.GrantingHost(s.process)
+	var peer ports.RatePeer = l
+	if host != l.cfg.Self {
+		peer = l.cfg.Peer(host)
+	}
+	reply, err := peer.Grant(ctx, req)
+	if err != nil {
+		klog.InfoS("granting host of an upstream with a rate limit not reached", "process", s.process, "host", host, "err", err)
+		return ports.RateReply{Wait: askRetryDelay}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.rate > 0
+	l.setRate(s, reply.Limit.Rate, time.Now().Add(-reply.Limit.Age))
+	return reply
+}
+
+// GiveBack keeps a grant that was not used for the next request.
+func (l *Limits) GiveBack(up *traffic.Upstream) {
+	if s := l.lookUp(up); s != nil {
+		s.keepGrant(time.Now())
+	}
+}
+
+func (s *state) keepGrant(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rate > 0 {
+		s.unusedUntil = now.Add(unusedGrantTTL)
+	}
+}
+
+// Grant implements ports.RatePeer. A host that is not the granting one in its own view
+// grants nothing, so that two hosts do not grant the same tokens.
+func (l *Limits) Grant(_ context.Context, req ports.RateRequest) (ports.RateReply, error) {
+	now := time.Now()
+	s := l.state(req.Process)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastUsed = now
+	l.setRate(s, req.Limit.Rate, now.Add(-req.Limit.Age))
+	reply := ports.RateReply{Limit: s.limit(now)}
+	switch {
+	case req.ReportOnly:
+	case s.rate == 0:
+		reply.Granted = true
+	case l.cfg.GrantingHost(req.Process) != l.cfg.Self:
+		reply.Wait = askRetryDelay
+	default:
+		reply.Granted, reply.Wait = s.bucket.take(req.From, s.rate, now)
+	}
+	return reply, nil
+}
+
+// enqueue lets Run ask the granting host of a process for a request, or only report the
+// limit.
+func (l *Limits) enqueue(process domain.UpstreamID, ask bool) {
+	l.mu.Lock()
+	l.pending[process] = l.pending[process] || ask
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run asks for grants that are needed soon, reports changes of limits that this host
+// observed, and removes the state of processes that are no longer called, until the context
+// ends. It always returns nil.
+func (l *Limits) Run(ctx context.Context) error {
+	ticker := time.NewTicker(cleanupInterval)
+	defer ticker.Stop()
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.wake:
+			for process, ask := range l.takePending() {
+				asking.Go(func() { l.askPending(ctx, l.state(process), ask) })
+			}
+		case <-ticker.C:
+			l.removeUnused(time.Now())
+		}
+	}
+}
+
+func (l *Limits) takePending() map[domain.UpstreamID]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	pending := l.pending
+	l.pending = make(map[domain.UpstreamID]bool)
+	return pending
+}
+
+func (l *Limits) askPending(ctx context.Context, s *state, ask bool) {
+	if !ask {
+		l.ask(ctx, s, true)
+		return
+	}
+	if l.askFor(ctx, s) {
+		s.keepGrant(time.Now())
+	}
+}
+
+func (l *Limits) removeUnused(now time.Time) {
+	for _, s := range l.states.Values() {
+		s.mu.Lock()
+		unused := now.Sub(s.lastUsed) > stateTTL
+		s.mu.Unlock()
+		if unused {
+			l.states.Delete(s.process)
+			l.known.Add(-1)
+		}
+	}
+}
+
+// lookUp returns the state of an upstream's process, or nil if it has none.
+func (l *Limits) lookUp(up *traffic.Upstream) *state {
+	if l.known.Load() == 0 {
+		return nil
+	}
+	s, _ := l.states.Load(processOf(up))
+	return s
 }
 
-func (l *Limits) state(of traffic.Incarnation) *state {
+// state returns the state of a process, and creates it if there is none.
+func (l *Limits) state(process domain.UpstreamID) *state {
 	var found *state
-	l.states.Update(of, func(s *state, ok bool) (*state, bool) {
+	l.states.Update(process, func(s *state, ok bool) (*state, bool) {
 		if !ok {
-			s = &state{}
+			s = &state{process: process, lastUsed: time.Now()}
+			l.known.Add(1)
 		}
 		found = s
 		return s, true
