dispatch: the fake of the third crash ends all requests in flight, and no later ones

The fake upstream went on crashing until no request was in flight. If the request without strikes ended last, or at the same moment, the next suspect, which was alone, crashed as well and shared the third crash with the culprit. A crash now ends what is in flight at that moment.

--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -167,18 +167,23 @@
 			f.gate.cfg.Quarantine.RecordCrash(process, fingerprints)
 		}
 		var mu sync.Mutex
-		running, crashing := 0, false
+		// lost holds, for each request in flight, whether the upstream has crashed.
+		lost := make(map[*traffic.Request]bool)
 		f.callRequest = func(req *traffic.Request) (*traffic.Answer, error) {
 			mu.Lock()
-			running++
-			crashing = crashing || req.Fingerprint == culprit
+			lost[req] = false
 			mu.Unlock()
 			time.Sleep(50 * time.Millisecond)
 			mu.Lock()
 			defer mu.Unlock()
-			running--
-			if crashing && req.Fingerprint <= count {
-				crashing = running > 0
+			if req.Fingerprint == culprit {
+				for other := range lost {
+					lost[other] = true
+				}
+			}
+			crashed := lost[req]
+			delete(lost, req)
+			if crashed && req.Fingerprint <= count {
 				return nil, errConnectionLost
 			}
 			return &traffic.Answer{Status: 200}, nil
