soak: upstreams that state rate limits

Workers state limits at random during the faults. After them one worker of each service and role states one; a run finds more requests in 4 s than it allows, 3 s later, and requests that are refused for rate limits though other workers have none.

--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -343,13 +343,11 @@
 			return nil
 		}
 		if maxDelay := g.prefillSelector.maxPrefillDelay(n.service, n.req.PromptTokens); maxDelay > 0 && delay > maxDelay {
+			g.cfg.RateLimits.GiveBack(up)
 			klog.InfoS("prompt left to the decode engine", "request", n.req.ID, "expected delay", delay, "max delay", maxDelay)
 			return nil
 		}
 		tried[up.ID] = true
-		if !g.cfg.RateLimits.Take(ctx, up) {
-			continue
-		}
 		if !g.takeRetry(n, n.prefillCalls) {
 			g.cfg.RateLimits.GiveBack(up)
 			return nil
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -273,8 +273,12 @@
 			return nil, limited && !full
 		}
 		remaining = slices.DeleteFunc(remaining, func(c candidate) bool { return c.up == up })
-		r, err := g.reserve(ctx, f, up, tokens, ttl)
-		if err == nil {
+		ask := tokens
+		if _, limited := g.cfg.RateLimits.Rate(up); limited {
+			ask = needed // An engine with a rate limit is not asked twice.
+		}
+		r, err := g.reserve(ctx, f, up, ask, ttl)
+		if err == nil && ask > needed {
 			// This reservation only checked the headroom. It must be released before
 			// the slot is reserved, or the two together need too much memory.
 			g.cfg.Upstreams.ReleaseReservation(ctx, r)
--- a/dispatch/readers.go
+++ b/dispatch/readers.go
@@ -90,14 +90,23 @@
 // choosePrefillEngine returns the prefill engine that is expected to finish the
 // prompt first, and its expected delay. Hosts do not know of each other's prompts,
 // so it probes the engines: only an idle one accepts a reservation of nearly all
-// its memory. If no probed engine is idle, it returns the first choice. It returns
-// nil if ctx ends.
+// its memory. If no probed engine is idle, it returns the first choice. An engine with a
+// rate limit is not probed, and is chosen if a grant is ready; the grant must be given back
+// if it is not used. It returns nil if ctx ends, or if all engines are at their limits.
 func (g *Gate) choosePrefillEngine(ctx context.Context, n *generation, engines []candidate, zone domain.Zone) (*traffic.Upstream, time.Duration) {
 	var best *traffic.Upstream
 	var delay time.Duration
 	remaining := slices.Clone(engines)
 	for range min(maxIdleProbes, len(engines)) {
 		up, expected := g.prefillSelector.pick(remaining, zone)
+		remaining = slices.DeleteFunc(remaining, func(c candidate) bool { return c.up == up })
+		if _, limited := g.cfg.RateLimits.Rate(up); limited {
+			if g.cfg.RateLimits.TakeReady(up) {
+				return up, expected
+			}
+			g.cfg.RateLimits.Prefetch(up)
+			continue
+		}
 		if best == nil {
 			best, delay = up, expected
 		}
@@ -107,7 +116,6 @@
 		if ctx.Err() != nil {
 			return nil, 0
 		}
-		remaining = slices.DeleteFunc(remaining, func(c candidate) bool { return c.up == up })
 	}
 	return best, delay
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -73,6 +73,9 @@
 	if calm && strings.Contains(string(body), string(domain.RefusalQuarantined)) {
 		r.ledger.find("request %s with the parts %s was refused by %s as if it crashed workers", id, parts, h.name)
 	}
+	if calm && strings.Contains(string(body), "rate limits") {
+		r.ledger.find("request %s (%s) was refused by %s for rate limits though other workers have none", id, kindPaths[k], h.name)
+	}
 	if err != nil || resp.StatusCode != http.StatusOK {
 		return
 	}
--- /dev/null
+++ b/soak/limits.go
@@ -0,0 +1,90 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"greengagespoke/platform/platformtest"
+)
+
+const (
+	// rateWindow is the time in which the requests to a worker with a rate limit are
+	// counted, of which rateTolerance times the limit and rateExtra are allowed.
+	rateWindow    = 4 * time.Second
+	rateTolerance = 1.5
+	rateExtra     = 5
+	// maxRateLimit bounds the limits that workers state, in requests a second.
+	maxRateLimit = 3.0
+	// limitedSuffix ends the identifiers of the workers that state a limit after the faults.
+	// All services have others, which have room.
+	limitedSuffix = "-1"
+)
+
+// limits holds the rate limits that workers state after the faults, by identifier.
+type limits struct {
+	rates map[string]float64
+	since time.Time
+}
+
+// limitWorker makes a worker state a rate limit for some time.
+func (r *run) limitWorker(length time.Duration) {
+	workers := r.currentWorkers()
+	w := workers[r.draw.IntN(len(workers))]
+	w.SetRateLimit(drawLimit(r.draw))
+	time.AfterFunc(3*length, func() { w.SetRateLimit("") })
+}
+
+func drawLimit(draw *rand.Rand) string {
+	return strconv.FormatFloat(0.5+draw.Float64()*(maxRateLimit-0.5), 'f', 2, 64)
+}
+
+// stateLimits makes one worker of each service and role state a rate limit from now on, and
+// the others none.
+func (r *run) stateLimits() {
+	r.limits = limits{rates: make(map[string]float64), since: time.Now()}
+	for _, w := range r.currentWorkers() {
+		if !strings.HasSuffix(w.ID, limitedSuffix) {
+			w.SetRateLimit("")
+			continue
+		}
+		text := drawLimit(r.draw)
+		w.SetRateLimit(text)
+		r.limits.rates[w.ID], _ = strconv.ParseFloat(text, 64)
+	}
+}
+
+// checkLimits checks that no worker got more than its limit allows, contactTime after it
+// stated it.
+func (r *run) checkLimits() {
+	for _, w := range r.currentWorkers() {
+		rate, limited := r.limits.rates[w.ID]
+		if !limited {
+			continue
+		}
+		if n, allowed := worstWindow(w, r.limits.since.Add(contactTime)), rateTolerance*rateWindow.Seconds()*rate+rateExtra; float64(n) > allowed {
+			r.ledger.find("worker %s with a limit of %.2f a second got %d requests in %s, want at most %.1f", w.ID, rate, n, rateWindow, allowed)
+		}
+	}
+}
+
+// worstWindow returns the largest number of requests to a worker in rateWindow, from a time
+// on.
+func worstWindow(w *platformtest.Worker, from time.Time) int {
+	worst := 0
+	arrivals := w.Arrivals()
+	for i, at := range arrivals {
+		if at.Before(from) {
+			continue
+		}
+		n := 0
+		for _, other := range arrivals[i:] {
+			if other.Sub(at) < rateWindow {
+				n++
+			}
+		}
+		worst = max(worst, n)
+	}
+	return worst
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -15,8 +15,8 @@
 
 const (
 	// settle is how long a run waits at its end, without faults, before it looks at
-	// what was left: for half of it hosts may still act on what the faults left.
-	settle = 2 * contactTime
+	// what was left: for contactTime of it hosts may still act on what the faults left.
+	settle = contactTime + rateWindow
 	// stopLimit is the longest planned stop.
 	stopLimit = 12 * time.Second
 )
@@ -68,6 +68,7 @@
 	// crashingRequest and crashingPart are callers whose requests crash workers.
 	crashingRequest, crashingPart *crasher
 
+	limits limits
 	// healed is when the last fault ended, in Unix nanoseconds, or 0.
 	healed atomic.Int64
 
@@ -102,6 +103,7 @@
 	callers.Go(func() { r.crash(calling, r.crashingPart, rand.New(rand.NewPCG(options.Seed, crashDraw+2))) })
 	r.injectFaults(ctx)
 	r.heal()
+	r.stateLimits()
 	lastFault := time.Now()
 	r.healed.Store(lastFault.UnixNano())
 	time.Sleep(settle)
@@ -111,6 +113,7 @@
 	r.stopAll()
 	r.ledger.check(r.runsOf)
 	r.checkCrashes(lastFault)
+	r.checkLimits()
 	byRequest, _ := r.crashingRequest.count(lastFault)
 	byPart, _ := r.crashingPart.count(lastFault)
 	return Report{
