dispatch: an unframed response that ends with its upstream's process is not complete

A response may have neither a length nor chunks and end with its connection. If the upstream's process ended meanwhile, and its connections were closed rather than reset, the caller got a part of a response that looked complete, and a request that crashes upstreams was cleared by it. After such a response the host now finds out whether the upstream still listens; if not, the response is lost like any other that its upstream's crash ended. The connection that this opens serves a later request. Those that end inside an event or by a reset were noticed before this.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -31,6 +32,18 @@
 		"upstream", up.ID, "role", up.Role, "process", up.Incarnation().String())
 }
 
+// errEndedByCrash means that an unframed response ended because the upstream's process did.
+var errEndedByCrash = errors.New("the upstream crashed before its response, which has no length, was complete")
+
+// checkUnframedEnd returns an error if an unframed response ended with the upstream's
+// process, so that it may be incomplete.
+func (g *Gate) checkUnframedEnd(ctx context.Context, f *inFlight, up *traffic.Upstream) error {
+	if !g.cfg.Catalog.Current(up) || !g.crashed(ctx, f, up) {
+		return nil
+	}
+	return &traffic.CallError{Effect: traffic.EffectUnknown, ConnectionLost: true, Err: errEndedByCrash}
+}
+
 // crashed reports whether the process of an upstream that closed a connection has ended.
 // One request at a time asks, and the others use its result.
 func (g *Gate) crashed(ctx context.Context, f *inFlight, up *traffic.Upstream) bool {
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -170,6 +170,8 @@
 	return traffic.Event{ID: id, Raw: []byte("id: " + id + "\n\n")}, nil
 }
 
+func (s *fakeStream) Unframed() bool { return false }
+
 func (s *fakeStream) Close() {
 	if s.closed != nil {
 		s.closed()
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -471,6 +471,11 @@
 			wait = min(wait, streamSilenceTimeout)
 		}
 		event, err := stream.Next(wait)
+		if errors.Is(err, io.EOF) && stream.Unframed() {
+			if err := g.checkUnframedEnd(ctx, n.inFlight, n.lastEngine); err != nil {
+				return err
+			}
+		}
 		if errors.Is(err, io.EOF) {
 			if !n.headSent {
 				n.sendHead(stream)
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -112,6 +112,9 @@
 	f.sent[up.ID], f.tried[up.ID] = true, true
 	g.cfg.RateLimits.Sent(up)
 	answer, err := g.cfg.Upstreams.Call(ctx, up, f.req, f.timeLeft(began))
+	if err == nil && answer.Unframed {
+		err = g.checkUnframedEnd(ctx, f, up)
+	}
 	elapsed := time.Since(began)
 	g.metrics.call.Record(elapsed)
 	result := g.outcomeOf(ctx, answer, err)
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -55,6 +55,9 @@
 	// Header is the adapter's representation of the response headers.
 	Header any
 	Body   []byte
+	// Unframed means that the response had neither a length nor chunks and ended with its
+	// connection, as it also does if the upstream's process ends.
+	Unframed bool
 }
 
 // Failed reports whether the upstream answered with a server error (5xx).
@@ -99,6 +102,9 @@
 	// Next returns the next event, io.EOF after the last event of a complete response,
 	// or a *CallError. It blocks for at most the given duration.
 	Next(wait time.Duration) (Event, error)
+	// Unframed reports that the response has neither a length nor chunks and ends with its
+	// connection, as it also does if the upstream's process ends.
+	Unframed() bool
 	// Close releases the stream. An unfinished stream is cancelled on the engine.
 	Close()
 }
