--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -147,3 +147,40 @@
 		t.Errorf("%.0f bytes allocated per change with 3,000 upstreams, %.0f with 100", large, small)
 	}
 }
+
+// When the registry comes back from an older copy, upstreams that left or were replaced since
+// must not be taken for ready, until their entries change again or the copy has settled, and
+// those that came since are kept for a while.
+func TestUpstreamsThatLeftDoNotComeBackWithAnOlderCopy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New()
+	drained, removed, replaced, stays := testUpstream("drained", 1), testUpstream("removed", 1), testUpstream("replaced", 1), testUpstream("stays", 1)
+	older := []*traffic.Upstream{drained, removed, replaced, stays}
+	c.Replace(older, now)
+	draining, newer, added := *drained, testUpstream("replaced", 2), testUpstream("added", 1)
+	draining.State = traffic.UpstreamDraining
+	c.Change([]traffic.UpstreamChange{
+		{ID: "drained", Upstream: &draining}, {ID: "removed"}, {ID: "replaced", Upstream: newer}, {ID: "added", Upstream: added},
+	}, now)
+	now = now.Add(time.Second)
+	c.RegistryRestored(now)
+	c.Replace(older, now)
+	for _, u := range []*traffic.Upstream{drained, removed, replaced} {
+		if c.Current(u) {
+			t.Errorf("upstream %s, which left, is taken for ready", u.ID)
+		}
+	}
+	for _, u := range []*traffic.Upstream{newer, stays, added} {
+		if !c.Current(u) {
+			t.Errorf("upstream %s is not in use", u.ID)
+		}
+	}
+	c.Change([]traffic.UpstreamChange{{ID: "drained", Upstream: drained}}, now)
+	if !c.Current(drained) {
+		t.Error("an entry that changed after the copy is ignored")
+	}
+	c.Replace(older, now.Add(restoredEntryTime))
+	if !c.Current(removed) {
+		t.Error("an entry that is still there when the copy has settled is ignored")
+	}
+}
--- a/catalog/upstreams.go
+++ b/catalog/upstreams.go
@@ -22,6 +22,15 @@
 // requests for longer than 2 s.
 const maxKeptAfterExpiry = 1300 * time.Millisecond
 
+const (
+	// restoredEntryTime is how long, after the registry came back from an older copy, entries
+	// that are read as a whole may be from before an upstream left.
+	restoredEntryTime = 4 * time.Second
+	// leftTTL is how long it is kept that a process left. Copies of the registry are some
+	// seconds old.
+	leftTTL = time.Minute
+)
+
 // registry holds the upstreams in the registry as this host last read it, and those
 // that are kept although their entries expired.
 type registry struct {
@@ -32,10 +41,14 @@
 	// regainedAt is when the registry last became readable after an outage.
 	regainedAt time.Time
 	unreadable bool
+	// left holds the processes that began to drain or whose entries were removed, with the
+	// time. Until restoredUntil they are not taken for ready again by a whole read.
+	left          map[traffic.Incarnation]time.Time
+	restoredUntil time.Time
 }
 
 func newRegistry() registry {
-	return registry{known: make(map[domain.UpstreamID]*traffic.Upstream), expired: make(map[domain.UpstreamID]time.Time)}
+	return registry{known: make(map[domain.UpstreamID]*traffic.Upstream), expired: make(map[domain.UpstreamID]time.Time), left: make(map[traffic.Incarnation]time.Time)}
 }
 
 // upstreamSnapshot is an immutable snapshot of the registered upstreams.
@@ -81,6 +94,40 @@
 	}
 }
 
+// RegistryRestored records that the registry came back from an older copy. Entries that were
+// written since are missing until the platform restores them, and entries of upstreams that
+// left since may be back.
+func (c *Catalog) RegistryRestored(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.registry.unreadable = false
+	c.registry.regainedAt, c.registry.restoredUntil = now, now.Add(restoredEntryTime)
+}
+
+// noteLeft notes that a process left.
+func (c *Catalog) noteLeft(u *traffic.Upstream, now time.Time) {
+	for process, at := range c.registry.left {
+		if now.Sub(at) > leftTTL {
+			delete(c.registry.left, process)
+		}
+	}
+	c.registry.left[u.Incarnation()] = now
+}
+
+// outdated reports whether an entry of a whole read is from a copy that is older than what
+// is known of the upstream.
+func (c *Catalog) outdated(u *traffic.Upstream, now time.Time) bool {
+	if !now.Before(c.registry.restoredUntil) {
+		return false
+	}
+	known, isKnown := c.registry.known[u.ID]
+	if isKnown && known.StartedAtMillis > u.StartedAtMillis {
+		return true
+	}
+	leftAt, left := c.registry.left[u.Incarnation()]
+	return left && u.State == traffic.UpstreamReady && now.Sub(leftAt) <= leftTTL
+}
+
 // Change applies changes of registry entries in order. After an outage of the registry
 // the entry of a live upstream may expire before the platform restores it, so a ready
 // upstream whose entry is removed then is kept until RemoveExpired removes it.
@@ -91,14 +138,19 @@
 		if change.Upstream == nil {
 			c.remove(change.ID, now)
 		} else {
-			c.put(change.Upstream)
+			c.put(change.Upstream, now)
 		}
 	}
 	c.publish()
 }
 
-func (c *Catalog) put(u *traffic.Upstream) {
+func (c *Catalog) put(u *traffic.Upstream, now time.Time) {
 	previous, known := c.registry.known[u.ID]
+	if u.State == traffic.UpstreamDraining {
+		c.noteLeft(u, now)
+	} else {
+		delete(c.registry.left, u.Incarnation())
+	}
 	delete(c.registry.expired, u.ID)
 	c.registry.known[u.ID] = u
 	if !known || previous.State != u.State || previous.Role != u.Role || previous.Incarnation() != u.Incarnation() {
@@ -123,6 +175,7 @@
 		}
 		return
 	}
+	c.noteLeft(u, now)
 	delete(c.registry.known, id)
 	delete(c.registry.expired, id)
 	klog.InfoS("upstream removed", "upstream", id, "service", u.Service, "address", u.Address)
@@ -136,7 +189,11 @@
 	listed := make(map[domain.UpstreamID]bool, len(all))
 	for _, u := range all {
 		listed[u.ID] = true
-		c.put(u)
+		if c.outdated(u, now) {
+			klog.InfoS("upstream entry ignored, as it is from an older copy", "upstream", u.ID, "born", u.StartedAtMillis)
+			continue
+		}
+		c.put(u, now)
 	}
 	for _, id := range slices.Collect(maps.Keys(c.registry.known)) {
 		if !listed[id] {
@@ -156,6 +213,7 @@
 			continue
 		}
 		klog.InfoS("upstream removed", "upstream", id, "reason", "its entry did not come back")
+		c.noteLeft(c.registry.known[id], now)
 		delete(c.registry.expired, id)
 		delete(c.registry.known, id)
 		changed = true
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -117,6 +117,7 @@
 	storeClient := store.New(s.StoreAddress)
 	d.hosts = registry.NewHosts(storeClient, self)
 	d.storeSource = registry.NewSource(storeClient, s.Host)
+	d.storeSource.OnRestored(d.hosts.Restored)
 	d.registry = registry.New(d.storeSource, d.catalog, d.hosts)
 	d.configPeers = registry.NewConfigPeers(d.catalog.Config, d.catalog)
 	d.quarantine = quarantine.New(quarantine.Config{
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -22,7 +22,7 @@
 func (r *run) injectFaults(ctx context.Context) {
 	kinds := []func(time.Duration){
 		r.killHost, r.pauseHost, r.stopHost, r.hangUp, r.breakLink, r.breakLink,
-		r.breakStore, r.forget, r.change, r.change, r.breakWorker, r.breakWorker, r.drainWorker, r.limitWorker,
+		r.breakStore, r.forget, r.change, r.change, r.breakWorker, r.breakWorker, r.drainWorker, r.limitWorker, r.restoreStore,
 	}
 	for end := time.Now().Add(r.options.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(time.Duration(r.draw.Int64N(int64(2 * faultGap))))
@@ -81,6 +81,24 @@
 	time.AfterFunc(length, func() { r.store.SetMode(platformtest.StoreUp) })
 }
 
+// restoreStore lets the store come back from a copy that is as old as length. The operator
+// and the workers write again what was lost.
+func (r *run) restoreStore(length time.Duration) {
+	r.store.Copy()
+	time.AfterFunc(length, func() {
+		if r.healed.Load() != 0 {
+			return // No fault begins after the last one.
+		}
+		r.store.Restore()
+		r.mu.Lock()
+		r.writeConfig()
+		r.mu.Unlock()
+		for _, w := range r.currentWorkers() {
+			w.Register(r.store, "ready")
+		}
+	})
+}
+
 func (r *run) forget(time.Duration) { r.store.DiscardHistory() }
 
 func (r *run) change(time.Duration) { r.configure() }
--- a/soak/run.go
+++ b/soak/run.go
@@ -165,6 +165,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version++
+	r.writeConfig()
+}
+
+// writeConfig writes the newest version. The caller holds the lock.
+func (r *run) writeConfig() {
 	plain := fmt.Sprintf("v%d", r.version%3)
 	r.store.Configure(r.version, hostName, []platformtest.Route{
 		{Prefix: "/filing/", Kind: platformtest.KindOnce, Service: plain, Attempts: 1},
