dispatch: parts of prompts concern generations only

A call to a plain service that carries the header of a prompt cleared its parts when it completed, though no engine had begun to answer it, and was refused for a quarantined one. TestPartsOfPromptsConcernGenerationsOnly failed before. Found by reading the change.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -26,9 +26,9 @@
 		return
 	}
 	g.metrics.crashes.Add(1)
-	g.cfg.Quarantine.RecordCrash(domain.UpstreamID(up.Incarnation().String()), []uint64{f.req.Fingerprint}, f.req.Parts...)
+	g.cfg.Quarantine.RecordCrash(domain.UpstreamID(up.Incarnation().String()), []uint64{f.req.Fingerprint}, f.parts...)
 	klog.InfoS("upstream crashed while it had a request", "request", f.req.ID, "fingerprint", f.req.Fingerprint,
-		"parts", f.req.Parts[:min(len(f.req.Parts), maxLoggedParts)], "upstreams_used", len(f.sent),
+		"parts", f.parts[:min(len(f.parts), maxLoggedParts)], "upstreams_used", len(f.sent),
 		"upstream", up.ID, "role", up.Role, "process", up.Incarnation().String())
 }
 
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -320,3 +320,27 @@
 		}
 	})
 }
+
+// A call to a plain service says nothing of a part of prompts: neither does it clear one, nor
+// is it refused for one.
+func TestPartsOfPromptsConcernGenerationsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		serve := func(path string) *fakeCaller {
+			req, caller := newRequest(path), &fakeCaller{}
+			req.Parts = []uint64{7}
+			f.gate.Serve(context.Background(), req, caller)
+			return caller
+		}
+		for i := range quarantine.DefaultStrikeLimit {
+			time.Sleep(time.Second)
+			f.gate.cfg.Quarantine.RecordCrash(domain.UpstreamID(fmt.Sprint("p", i)), []uint64{uint64(i + 1)}, 7)
+		}
+		if caller := serve("/once/x"); caller.answer == nil {
+			t.Errorf("a plain call was refused: %v", caller.refusal)
+		}
+		if caller := serve("/draft/x"); caller.refusal == nil || caller.refusal.Kind != domain.RefusalQuarantined {
+			t.Errorf("a generation got %+v, want a refusal of kind quarantined", caller)
+		}
+	})
+}
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -79,6 +79,8 @@
 	answerDeadline time.Time
 	// configVersion is the version of the configuration that the route is from.
 	configVersion domain.Revision
+	// parts are the shared parts of the prompt, empty for calls to plain services.
+	parts []uint64
 	// sent holds the upstreams that may have received the request. tried also holds
 	// those that it did not reach.
 	sent, tried map[domain.UpstreamID]bool
@@ -88,11 +90,7 @@
 // returns when the request has ended. ctx must end when the caller disconnects.
 func (g *Gate) Serve(ctx context.Context, req *traffic.Request, caller traffic.Caller) {
 	config, route := g.cfg.Catalog.Match(req.Host, req.Path)
-	refusal := g.admit(config, route)
-	if refusal == nil {
-		refusal = g.cfg.Quarantine.Check(req.Fingerprint, req.Parts...)
-	}
-	if refusal != nil {
+	if refusal := g.admit(config, route); refusal != nil {
 		g.refuse(req, caller, refusal)
 		return
 	}
@@ -104,16 +102,32 @@
 		f.answerDeadline = limit
 	}
 	f.engine = config.Services[f.service].Engine
+	if f.isGeneration() {
+		f.parts = req.Parts
+	}
+	if refusal := g.quarantined(f); refusal != nil {
+		g.refuse(req, caller, refusal)
+		return
+	}
 	g.cfg.Budget.RecordRequest(f.service, req.Arrived)
 	ctx, cancel := context.WithDeadline(ctx, f.answerDeadline)
 	defer cancel()
-	if route.Generation && f.engine != nil {
+	if f.isGeneration() {
 		g.serveGeneration(ctx, f, caller)
 		return
 	}
 	g.servePlain(ctx, f, caller)
 }
 
+// isGeneration reports whether the request goes to model engines.
+func (f *inFlight) isGeneration() bool { return f.route.Generation && f.engine != nil }
+
+// quarantined returns the refusal of a request that crashes upstreams, or that has a part of
+// a prompt that does, or nil.
+func (g *Gate) quarantined(f *inFlight) *domain.Refusal {
+	return g.cfg.Quarantine.Check(f.req.Fingerprint, f.parts...)
+}
+
 // admit returns why a request cannot be accepted, or nil if it can.
 func (g *Gate) admit(config *traffic.Config, route *traffic.Route) *domain.Refusal {
 	switch {
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -127,9 +127,9 @@
 	if refusal != nil {
 		return refusal
 	}
-	if refusal := g.quarantined(n); refusal != nil {
+	if refusal := g.quarantined(n.inFlight); refusal != nil {
 		g.returnReservation(reservation)
-		return refusal
+		return refusal.WithRan(n.ran())
 	}
 	n.reservedAt = time.Now()
 	g.metrics.slotWait.Record(n.reservedAt.Sub(n.req.Arrived))
@@ -146,10 +146,10 @@
 		g.discardPrompt(prompt)
 		return n.endedRefusal(ctx)
 	}
-	if refusal := g.quarantined(n); refusal != nil {
+	if refusal := g.quarantined(n.inFlight); refusal != nil {
 		g.returnReservation(reservation)
 		g.discardPrompt(prompt)
-		return refusal
+		return refusal.WithRan(n.ran())
 	}
 	// The first prefill call is free only if an engine prefilled the prompt.
 	if n.streamCalls == 0 && !n.prefilled && !g.takeRetry(n, n.prefillCalls) {
@@ -171,15 +171,6 @@
 	return refusal
 }
 
-// quarantined returns the refusal of a request that crashed upstreams meanwhile, or nil.
-func (g *Gate) quarantined(n *generation) *domain.Refusal {
-	refusal := g.cfg.Quarantine.Check(n.req.Fingerprint, n.req.Parts...)
-	if refusal == nil {
-		return nil
-	}
-	return refusal.WithRan(n.ran())
-}
-
 // streamNotStarted handles a stream that did not start. The prompt is kept for the
 // next attempt if the request did not reach the engine.
 func (g *Gate) streamNotStarted(ctx context.Context, n *generation, reservation *traffic.Reservation, prompt *traffic.Prompt, call *traffic.CallError) (outcome, *domain.Refusal) {
@@ -209,7 +200,7 @@
 	switch {
 	case err == nil:
 		if !n.prefillLost {
-			g.cfg.Quarantine.Clear(n.req.Fingerprint, n.req.Parts...)
+			g.cfg.Quarantine.Clear(n.req.Fingerprint, n.parts...)
 		}
 		g.metrics.answered.Add(1)
 		g.cfg.Loads.RecordRequest(n.service, n.req.PromptTokens, reservation.Tokens, time.Since(n.reservedAt))
@@ -326,7 +317,7 @@
 func (g *Gate) runPrefill(ctx context.Context, n *generation, reservation *traffic.Reservation) *traffic.Prompt {
 	tried := make(map[domain.UpstreamID]bool)
 	for range maxPrefillAttempts {
-		if g.quarantined(n) != nil {
+		if g.quarantined(n.inFlight) != nil {
 			return nil
 		}
 		engines := g.candidates(n.service, time.Now(), func(up *traffic.Upstream) bool {
--- a/dispatch/isolate.go
+++ b/dispatch/isolate.go
@@ -50,12 +50,11 @@
 // more than one further crash. It returns a function that ends the turn, or a refusal that
 // says that the attempt did not run.
 func (g *Gate) beginAttempt(ctx context.Context, f *inFlight) (end func(), refusal *domain.Refusal) {
-	quarantined := func() *domain.Refusal { return g.cfg.Quarantine.Check(f.req.Fingerprint, f.req.Parts...) }
-	if !g.cfg.Quarantine.AtLastStrike(f.req.Fingerprint, f.req.Parts...) {
-		return func() {}, quarantined()
+	if !g.cfg.Quarantine.AtLastStrike(f.req.Fingerprint, f.parts...) {
+		return func() {}, g.quarantined(f)
 	}
 	g.metrics.isolated.Add(1)
-	if subject, undecided := g.cfg.Quarantine.Undecided(f.req.Fingerprint, f.req.Parts...); undecided && !g.cfg.Decides(subject) {
+	if subject, undecided := g.cfg.Quarantine.Undecided(f.req.Fingerprint, f.parts...); undecided && !g.cfg.Decides(subject) {
 		return nil, noTurnRefusal()
 	}
 	turn := g.isolator.turn(f.service)
@@ -67,14 +66,14 @@
 		select {
 		case turn <- struct{}{}:
 			// The request may have crashed an upstream for another caller meanwhile.
-			if refusal := quarantined(); refusal != nil {
+			if refusal := g.quarantined(f); refusal != nil {
 				<-turn
 				return nil, refusal
 			}
 			return func() { <-turn }, nil
 		case <-check.C:
-			if !g.cfg.Quarantine.AtLastStrike(f.req.Fingerprint, f.req.Parts...) {
-				return func() {}, quarantined()
+			if !g.cfg.Quarantine.AtLastStrike(f.req.Fingerprint, f.parts...) {
+				return func() {}, g.quarantined(f)
 			}
 			if time.Now().After(giveUp) {
 				return nil, noTurnRefusal()
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -140,7 +140,7 @@
 	q.enqueue(w)
 	defer q.remove(w)
 	for {
-		if refusal := p.gate.cfg.Quarantine.Check(f.req.Fingerprint, f.req.Parts...); refusal != nil {
+		if refusal := p.gate.quarantined(f); refusal != nil {
 			return nil, refusal
 		}
 		now := time.Now()
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	if !answer.Failed() {
-		g.cfg.Quarantine.Clear(f.req.Fingerprint, f.req.Parts...)
+		g.cfg.Quarantine.Clear(f.req.Fingerprint, f.parts...)
 	}
 	klog.InfoS("call answered", "request", f.req.ID, "upstream", up.ID, "status", answer.Status, "took", elapsed, "version", f.configVersion)
 	return answer, nil
