dispatch: bound the wait for grants if all upstreams state rate limits

With several limited upstreams whose granting hosts do not answer, a request asked each in turn, 80 ms apiece. After 100 ms it asks none any more and is refused. A caller that leaves during a question no longer counts as a granting host that does not answer. Found by reading the change.

--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -26,6 +26,9 @@
 	// maxTieBreakCost bounds the random cost that breaks ties between equal
 	// upstreams, so that hosts do not all choose the same one.
 	maxTieBreakCost = 5 * time.Millisecond
+	// maxGrantWait is the time after which a request asks for no further grant if all
+	// upstreams state rate limits.
+	maxGrantWait = 100 * time.Millisecond
 	// maxRateRetryAfter is the longest retry delay that is reported if all upstreams are at
 	// their rate limits.
 	maxRateRetryAfter = 3 * time.Second
@@ -105,10 +108,12 @@
 			notReady = append(notReady, next)
 		}
 	}
+	giveUp := time.Now().Add(maxGrantWait)
 	for _, next := range notReady {
-		if up != nil {
+		switch {
+		case up != nil || ctx.Err() != nil || time.Now().After(giveUp):
 			g.cfg.RateLimits.Prefetch(next)
-		} else if g.cfg.RateLimits.Take(ctx, next) {
+		case g.cfg.RateLimits.Take(ctx, next):
 			up = next
 		}
 	}
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -196,7 +196,8 @@
 	if s == nil || s.takeReady(time.Now()) {
 		return true
 	}
-	return s.beginAsking(time.Now()) && l.askFor(ctx, s)
+	// A caller that leaves must not be taken for a granting host that does not answer.
+	return s.beginAsking(time.Now()) && l.askFor(context.WithoutCancel(ctx), s)
 }
 
 // beginAsking reports whether the granting host may be asked now. If so, askFor must be
