soak: a limit of the faults does not end one of the time after them

The log shows that the worker had stopped to state it 0.3 s after it began: the end of an earlier limit, drawn as a fault, took the later one away. Such an end now has no effect once the faults are over, and the faults count as over before they are healed.

--- a/soak/limits.go
+++ b/soak/limits.go
@@ -33,7 +33,11 @@
 	workers := r.currentWorkers()
 	w := workers[r.draw.IntN(len(workers))]
 	w.SetRateLimit(drawLimit(r.draw))
-	time.AfterFunc(3*length, func() { w.SetRateLimit("") })
+	time.AfterFunc(3*length, func() {
+		if r.healed.Load() == 0 {
+			w.SetRateLimit("")
+		}
+	})
 }
 
 func drawLimit(draw *rand.Rand) string {
