dispatch: a retry that finds no engine is not refused as not run

The slot that a second attempt waits for may be refused although the first attempt may have run; the refusal said that it did not. TestRefusedRetryMayHaveRun failed before. Found by reading the change for rate limits, which adds such refusals; requests whose engines were full had them before.

--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -125,7 +125,7 @@
 	}
 	reservation, refusal := g.reserveSlot(ctx, n)
 	if refusal != nil {
-		return refusal
+		return refusal.WithRan(n.ran())
 	}
 	if refusal := g.quarantined(n.inFlight); refusal != nil {
 		g.returnReservation(reservation)
--- a/dispatch/ratelimit_test.go
+++ b/dispatch/ratelimit_test.go
@@ -99,3 +99,19 @@
 		}
 	})
 }
+
+// A request whose first attempt may have run must not be refused as not run because its next
+// attempt finds no engine.
+func TestRefusedRetryMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.stream = func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) {
+			f.limit(testService, "d1", "d2")
+			return nil, errReset
+		}
+		caller := f.serve("/resume/x", &fakeCaller{})
+		if caller.refusal == nil || caller.refusal.Ran != domain.RanUnknown {
+			t.Errorf("refusal %+v, want one that does not say that the request did not run", caller.refusal)
+		}
+	})
+}
