--- a/platformentry/rate_limit_test.go
+++ b/platformentry/rate_limit_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"greengagespoke/internal/knownred"
+	"greengagespoke/internal/window"
 	"greengagespoke/platform/platformtest"
 	"greengagespoke/platform/wire"
 )
@@ -196,24 +197,6 @@
 	}
 }
 
-// worstWindow returns the largest number of arrivals in rateWindow from a time on.
-func worstWindow(arrivals []time.Time, from time.Time) int {
-	worst := 0
-	for i, at := range arrivals {
-		if at.Before(from) {
-			continue
-		}
-		n := 0
-		for _, other := range arrivals[i:] {
-			if other.Sub(at) < rateWindow {
-				n++
-			}
-		}
-		worst = max(worst, n)
-	}
-	return worst
-}
-
 func (c *rateTrialRun) report() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -230,7 +213,7 @@
 			arrivals = slices.DeleteFunc(slices.Clone(arrivals), func(at time.Time) bool { return at.After(c.restarted) })
 		}
 		from := c.began.Add(contactTime)
-		worst, allowed := worstWindow(arrivals, from), rateTolerance*rateWindow.Seconds()*limit+rateExtra
+		worst, allowed := window.Busiest(arrivals, rateWindow, from), rateTolerance*rateWindow.Seconds()*limit+rateExtra
 		late := 0
 		for _, at := range arrivals {
 			if at.After(from) {
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -11,6 +11,7 @@
 
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/internal/window"
 	"greengagespoke/ports"
 	"greengagespoke/traffic"
 )
@@ -18,11 +19,11 @@
 const (
 	// testDelay is the time of a question to another host.
 	testDelay = 10 * time.Millisecond
-	// window, tolerance and extra are the platform's bound: in each window at most
+	// boundWindow, tolerance and extra are the platform's bound: in each window at most
 	// tolerance times the limit, and extra requests.
-	window    = 4 * time.Second
-	tolerance = 1.5
-	extra     = 5
+	boundWindow = 4 * time.Second
+	tolerance   = 1.5
+	extra       = 5
 )
 
 var limited = &traffic.Upstream{ID: "u", Address: "10.0.0.1:1", StartedAtMillis: 7}
@@ -108,20 +109,6 @@
 	return sent
 }
 
-func worst(sent []time.Time) int {
-	most := 0
-	for i, at := range sent {
-		n := 0
-		for _, other := range sent[i:] {
-			if other.Sub(at) < window {
-				n++
-			}
-		}
-		most = max(most, n)
-	}
-	return most
-}
-
 // However many hosts there are, an upstream gets no more than its limit from all together,
 // most of the limit is used, and the questions are bounded.
 func TestLimitHoldsForAllHosts(t *testing.T) {
@@ -148,8 +135,8 @@
 				}
 				const length = 120 * time.Second
 				sent := f.demand(ctx, c.perHost, length)
-				if n, allowed := worst(sent), tolerance*window.Seconds()*c.rate+extra; float64(n) > allowed {
-					t.Errorf("%d requests in %s, want at most %.1f", n, window, allowed)
+				if n, allowed := window.Busiest(sent, boundWindow, time.Time{}), tolerance*boundWindow.Seconds()*c.rate+extra; float64(n) > allowed {
+					t.Errorf("%d requests in %s, want at most %.1f", n, boundWindow, allowed)
 				}
 				used := float64(len(sent)) / (c.rate * length.Seconds())
 				t.Logf("used %.2f of the limit, %d questions", used, f.questions)
@@ -194,8 +181,8 @@
 		f.unreachable, f.granting = false, 1
 		f.mu.Unlock()
 		sent := f.demand(ctx, 20, 20*time.Second)
-		if n, allowed := worst(sent), tolerance*window.Seconds()*2+extra; float64(n) > allowed || len(sent) < 20 {
-			t.Errorf("%d requests, worst %d in %s, allowed %.0f", len(sent), n, window, allowed)
+		if n, allowed := window.Busiest(sent, boundWindow, time.Time{}), tolerance*boundWindow.Seconds()*2+extra; float64(n) > allowed || len(sent) < 20 {
+			t.Errorf("%d requests, worst %d in %s, allowed %.0f", len(sent), n, boundWindow, allowed)
 		}
 	})
 }
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"greengagespoke/platform/platformtest"
+	"greengagespoke/internal/window"
 )
 
 const (
@@ -67,28 +67,8 @@
 		if !limited {
 			continue
 		}
-		if n, allowed := worstWindow(w, r.limits.since.Add(contactTime)), rateTolerance*rateWindow.Seconds()*rate+rateExtra; float64(n) > allowed {
+		if n, allowed := window.Busiest(w.Arrivals(), rateWindow, r.limits.since.Add(contactTime)), rateTolerance*rateWindow.Seconds()*rate+rateExtra; float64(n) > allowed {
 			r.ledger.find("worker %s with a limit of %.2f a second got %d requests in %s, want at most %.1f", w.ID, rate, n, rateWindow, allowed)
 		}
 	}
 }
-
-// worstWindow returns the largest number of requests to a worker in rateWindow, from a time
-// on.
-func worstWindow(w *platformtest.Worker, from time.Time) int {
-	worst := 0
-	arrivals := w.Arrivals()
-	for i, at := range arrivals {
-		if at.Before(from) {
-			continue
-		}
-		n := 0
-		for _, other := range arrivals[i:] {
-			if other.Sub(at) < rateWindow {
-				n++
-			}
-		}
-		worst = max(worst, n)
-	}
-	return worst
-}
