ratelimit, dispatch: tests of paths whose loss no test noticed

Retries without a grant, a host that grants though it is not the granting one, a request held while no granting host answers, and two reservations at a limited engine.

--- a/dispatch/ratelimit_test.go
+++ b/dispatch/ratelimit_test.go
@@ -115,3 +115,59 @@
 		}
 	})
 }
+
+// If no granting host answers and all upstreams state limits, a request must be refused soon,
+// not after a question for each of them.
+func TestSilentGrantingHostsDoNotHoldRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.gate.cfg.RateLimits = ratelimit.New(ratelimit.Config{
+			Self: "h", GrantingHost: func(domain.UpstreamID) domain.HostID { return "other" },
+			Peer: func(domain.HostID) ports.RatePeer { return silentPeer{} }, Counters: counters.NewSet(),
+		})
+		ids := []domain.UpstreamID{"p1", "p2", "p3", "p4", "p5", "p6"}
+		for _, id := range ids[2:] {
+			f.add(id, testPlain, domain.RoleService)
+		}
+		f.limit(testPlain, ids...)
+		began := time.Now()
+		caller := f.serve("/once/x", &fakeCaller{})
+		if caller.refusal == nil || caller.refusal.Ran != domain.RanNo {
+			t.Errorf("got %+v, want a refusal that says that the request did not run", caller)
+		}
+		if held := time.Since(began); held > 2*maxGrantWait {
+			t.Errorf("refused after %s", held)
+		}
+	})
+}
+
+// A retry needs a grant like a first attempt.
+func TestRetryKeepsTheRateLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.limit(testPlain, "p2")
+		f.call = func(*traffic.Upstream) (*traffic.Answer, error) { return &traffic.Answer{Status: 500}, nil }
+		for range 10 {
+			f.serve("/again/x", &fakeCaller{})
+		}
+		if n := f.count("call p2"); n != 0 {
+			t.Errorf("%d retries sent in no time to an upstream with a rate limit", n)
+		}
+	})
+}
+
+// An engine with a rate limit is asked for one place, not for headroom before.
+func TestLimitedEngineIsAskedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.limit(testService, "d1", "d2")
+		f.serve("/draft/x", &fakeCaller{})
+		time.Sleep(10 * time.Second)
+		if caller := f.serve("/draft/x", &fakeCaller{}); caller.refusal != nil {
+			t.Fatalf("refused: %v", caller.refusal)
+		}
+		if n := f.count("reserve d"); n != 1 {
+			t.Errorf("%d reservations for one stream, want 1", n)
+		}
+	})
+}
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -267,3 +267,21 @@
 		}
 	})
 }
+
+// Hosts may disagree for a while on who grants. One that does not count itself as the granting
+// host must grant nothing, or the same limit would be granted twice.
+func TestHostThatIsNotTheGrantingOneGrantsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet(ctx, 2)
+		f.hosts[1].Observe(limited, 5, true)
+		for range 10 {
+			time.Sleep(time.Second)
+			reply, err := f.hosts[1].Grant(ctx, ports.RateRequest{From: "h0", Process: processOf(limited), Limit: ports.RateLimit{Rate: 5}})
+			if err != nil || reply.Granted || reply.Wait <= 0 {
+				t.Fatalf("got %+v, %v, want a denial with a wait", reply, err)
+			}
+		}
+	})
+}
