dispatch: log and count the software version at which streams begin and go on

The log could not tell which of the hypotheses on streams at another software version holds. The line on a started stream now names the process, its software version, the request that the caller says it takes up and the event after which it goes on; an upstream's registration names its version. Counters for streams taken up by callers, resumed within a response, and resumed at another version.

--- a/catalog/upstreams.go
+++ b/catalog/upstreams.go
@@ -155,7 +155,7 @@
 	c.registry.known[u.ID] = u
 	if !known || previous.State != u.State || previous.Role != u.Role || previous.Incarnation() != u.Incarnation() {
 		klog.InfoS("upstream registered", "upstream", u.ID, "service", u.Service, "address", u.Address,
-			"zone", u.Zone, "role", u.Role, "draining", u.State == traffic.UpstreamDraining, "born", u.StartedAtMillis)
+			"zone", u.Zone, "role", u.Role, "draining", u.State == traffic.UpstreamDraining, "born", u.StartedAtMillis, "software", u.Version)
 	}
 }
 
--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -23,13 +23,17 @@
 	defCrashesUnknown       = counters.Define("dispatch_crashes_unknown", "lost connections to an upstream that could not be asked whether it crashed")
 	defIsolated             = counters.Define("dispatch_isolated", "attempts that waited for their turn because one more crash would quarantine the request")
 	defRateLimited          = counters.Define("dispatch_rate_limited", "requests that were rejected because all upstreams were at the rate limits that they state")
+	defStreamsTakenUp       = counters.Define("dispatch_streams_taken_up", "requests of callers that take up a stream after its last event")
+	defStreamsResumed       = counters.Define("dispatch_streams_resumed", "streams that went on at an engine within the same response")
+	defStreamsOtherVersion  = counters.Define("dispatch_streams_other_version", "those that went on at another software version than the one that began them")
 	defPrefillWasted        = counters.Define("dispatch_prefill_wasted", "prefilled prompts that were discarded unused")
 )
 
 type metrics struct {
 	refused, answered, retried, streamsBroken, disconnected,
 	reservations, reservationsRejected, prefillsWasted, prefillBusy,
-	connectionsLost, crashes, crashesUnknown, isolated, rateLimited *expvar.Int
+	connectionsLost, crashes, crashesUnknown, isolated, rateLimited,
+	streamsTakenUp, streamsResumed, streamsOtherVersion *expvar.Int
 	slotWait, prefill, call *counters.Histogram
 }
 
@@ -40,6 +44,7 @@
 		reservations: set.Int(defReservations), reservationsRejected: set.Int(defReservationsRejected), prefillsWasted: set.Int(defPrefillWasted),
 		prefillBusy: set.Int(defPrefillBusy), connectionsLost: set.Int(defConnectionsLost),
 		crashes: set.Int(defCrashes), crashesUnknown: set.Int(defCrashesUnknown), isolated: set.Int(defIsolated), rateLimited: set.Int(defRateLimited),
+		streamsTakenUp: set.Int(defStreamsTakenUp), streamsResumed: set.Int(defStreamsResumed), streamsOtherVersion: set.Int(defStreamsOtherVersion),
 		slotWait: set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
 	}
 }
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -112,6 +112,9 @@
 	g.cfg.Budget.RecordRequest(f.service, req.Arrived)
 	ctx, cancel := context.WithDeadline(ctx, f.answerDeadline)
 	defer cancel()
+	if req.LastEventID != "" {
+		g.metrics.streamsTakenUp.Add(1)
+	}
 	if f.isGeneration() {
 		g.serveGeneration(ctx, f, caller)
 		return
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -36,6 +37,9 @@
 	headSent bool
 	// lastEventID is the ID of the last event that the caller has, or "".
 	lastEventID string
+	// firstVersion is the software version of the engine whose event was the first one of the
+	// response, empty before.
+	firstVersion string
 	// mayHaveRun says that some engine may have executed the request.
 	mayHaveRun bool
 	eventsSent int
@@ -164,7 +168,9 @@
 	}
 	n.mayHaveRun, n.lastEngine = true, reservation.Engine
 	defer stream.Close()
+	g.countResumption(n, reservation.Engine)
 	klog.InfoS("stream started", "request", n.req.ID, "decode", reservation.Engine.ID, "prefill", prefillEngineID(prompt),
+		"process", reservation.Engine.Incarnation().String(), "software", reservation.Engine.Version, "resumes", n.req.Resumes, "after", cmp.Or(n.lastEventID, n.req.LastEventID),
 		"waited", n.reservedAt.Sub(n.req.Arrived).Round(time.Millisecond), "read", prefillEnd.Sub(n.reservedAt).Round(time.Millisecond),
 		"reserved", reservation.Tokens, "version", n.configVersion)
 	result, refusal = g.streamEnded(ctx, n, reservation, g.relayEvents(ctx, n, stream))
@@ -486,13 +492,26 @@
 			g.metrics.disconnected.Add(1)
 			return errCallerDisconnected
 		}
-		n.eventsSent++
+		if n.eventsSent++; n.eventsSent == 1 {
+			n.firstVersion = n.lastEngine.Version
+		}
 		if event.ID != "" {
 			n.lastEventID = event.ID
 		}
 	}
 }
 
+// countResumption counts a stream that goes on at an engine within the same response.
+func (g *Gate) countResumption(n *generation, engine *traffic.Upstream) {
+	if n.eventsSent == 0 {
+		return
+	}
+	g.metrics.streamsResumed.Add(1)
+	if engine.Version != n.firstVersion {
+		g.metrics.streamsOtherVersion.Add(1)
+	}
+}
+
 func (n *generation) sendHead(stream traffic.Stream) {
 	n.headSent = true
 	n.caller.Start(stream.Head())
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -27,6 +27,10 @@
 	// Parts identify the parts of the prompt that other requests may share, in order, by
 	// PartFingerprint. There are at most MaxParts.
 	Parts []uint64
+	// LastEventID is the last event that the caller has of a stream that it takes up, and
+	// empty for other requests. Resumes is the ID of the request that brought the first event
+	// of that stream, as the caller states it.
+	LastEventID, Resumes string
 	// Message holds the adapter's data for forwarding the request.
 	Message any
 }
--- a/traffic/upstream.go
+++ b/traffic/upstream.go
@@ -30,6 +30,8 @@
 	Slots int
 	// StartedAtMillis is the start time of the process in Unix milliseconds, 0 if unknown.
 	StartedAtMillis int64
+	// Version is the version of the process's software, empty if unknown.
+	Version string
 }
 
 // Incarnation identifies one process of an upstream. The identifier or the address
