--- a/platformentry/fixture_test.go
+++ b/platformentry/fixture_test.go
@@ -152,13 +152,28 @@
 }
 
 func (d *deployment) sendBody(h *host, method, path string, header http.Header, body string) response {
+	id, resp, err := d.openBody(context.Background(), h, method, path, header, body)
+	if err != nil {
+		return response{id: id, err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return response{id: id, status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+// open sends one request without a body and returns the response, whose body is not read.
+func (d *deployment) open(ctx context.Context, h *host, path string, header http.Header) (id string, resp *http.Response, err error) {
+	return d.openBody(ctx, h, http.MethodPost, path, header, "")
+}
+
+func (d *deployment) openBody(ctx context.Context, h *host, method, path string, header http.Header, body string) (id string, resp *http.Response, err error) {
 	d.mu.Lock()
 	d.lastRequestID++
-	id := fmt.Sprintf("%016x", d.lastRequestID)
+	id = fmt.Sprintf("%016x", d.lastRequestID)
 	d.mu.Unlock()
-	req, err := http.NewRequest(method, "http://"+h.settings.Callers+path, strings.NewReader(body)) //nolint:noctx // The request carries its deadline in a header.
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.settings.Callers+path, strings.NewReader(body))
 	if err != nil {
-		d.t.Fatal(err)
+		return id, nil, err
 	}
 	req.Host = testHost
 	req.Header.Set(wire.HeaderRequestID, id)
@@ -167,13 +182,8 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	resp, err := http.DefaultTransport.RoundTrip(req)
-	if err != nil {
-		return response{id: id, err: err}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(resp.Body)
-	return response{id: id, status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+	resp, err = http.DefaultTransport.RoundTrip(req)
+	return id, resp, err
 }
 
 // eventIDs returns the IDs of the events in the body of a stream.
