--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -20,6 +20,7 @@
 
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/internal/bounded"
 	"greengagespoke/ports"
 )
 
@@ -99,13 +100,13 @@
 	cfg Config
 
 	mu      sync.Mutex
-	records *boundedMap[subject, *record]
+	records *bounded.Map[subject, *record]
 	// culprits are the quarantined records.
 	culprits map[subject]*record
 	// cleared holds the times at which suspect requests completed, so that older strikes
 	// that arrive from other hosts afterwards do not count. completedParts holds those of
 	// all parts of prompts.
-	cleared, completedParts *boundedMap[subject, time.Time]
+	cleared, completedParts *bounded.Map[subject, time.Time]
 	// mustJudge means that strikes changed so that judge may decide otherwise.
 	mustJudge bool
 }
@@ -142,10 +143,10 @@
 	}
 	return &List{
 		cfg:            cfg,
-		records:        newBoundedMap[subject, *record](maxRecords),
+		records:        bounded.New[subject, *record](maxRecords),
 		culprits:       make(map[subject]*record),
-		cleared:        newBoundedMap[subject, time.Time](maxRecords),
-		completedParts: newBoundedMap[subject, time.Time](maxRecords),
+		cleared:        bounded.New[subject, time.Time](maxRecords),
+		completedParts: bounded.New[subject, time.Time](maxRecords),
 	}
 }
 
@@ -270,7 +271,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, s := range subjectsOf(request, parts) {
-		_, suspected := l.records.entries[s]
+		_, suspected := l.records.Entries[s]
 		if suspected || s.part {
 			l.clearUntil(s, now)
 		}
@@ -282,7 +283,7 @@
 }
 
 // completions returns the times at which subjects of this kind completed.
-func (l *List) completions(of subject) *boundedMap[subject, time.Time] {
+func (l *List) completions(of subject) *bounded.Map[subject, time.Time] {
 	if of.part {
 		return l.completedParts
 	}
@@ -293,10 +294,10 @@
 // do not count if they arrive later.
 func (l *List) clearUntil(of subject, completedAt time.Time) {
 	completions := l.completions(of)
-	if !completedAt.After(completions.entries[of]) {
+	if !completedAt.After(completions.Entries[of]) {
 		return
 	}
-	completions.put(of, completedAt)
+	completions.Put(of, completedAt)
 	r := l.unexpiredRecord(of)
 	if r == nil {
 		return
@@ -313,13 +314,13 @@
 // which the subject completed. It reports whether it recorded the strike.
 func (l *List) recordStrike(of subject, s strike) bool {
 	now := time.Now()
-	if of.fingerprint == 0 || now.Sub(s.crashedAt) > l.cfg.StrikeTTL || !s.crashedAt.After(l.completions(of).entries[of]) {
+	if of.fingerprint == 0 || now.Sub(s.crashedAt) > l.cfg.StrikeTTL || !s.crashedAt.After(l.completions(of).Entries[of]) {
 		return false
 	}
 	r := l.unexpiredRecord(of)
 	if r == nil {
 		r = &record{}
-		l.records.put(of, r)
+		l.records.Put(of, r)
 	}
 	s.explained = l.isExplained(s)
 	trial := l.onTrial(of, r)
@@ -338,7 +339,7 @@
 // unexpiredRecord returns the record of a subject, or nil if there is none. It removes a
 // record whose last crash is older than the TTL.
 func (l *List) unexpiredRecord(of subject) *record {
-	r, ok := l.records.entries[of]
+	r, ok := l.records.Entries[of]
 	if !ok {
 		delete(l.culprits, of)
 		return nil
@@ -351,7 +352,7 @@
 }
 
 func (l *List) remove(of subject) {
-	l.records.remove(of)
+	l.records.Remove(of)
 	delete(l.culprits, of)
 }
 
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -32,7 +32,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	var all []pendingStrike
-	for f, r := range l.records.entries {
+	for f, r := range l.records.Entries {
 		for i := range r.strikes {
 			if r.strikes[i].sendsLeft > 0 {
 				all = append(all, pendingStrike{of: f, strikes: len(r.strikes), strike: &r.strikes[i]})
