dispatch: count calls that are not sent and calls without an answer

The hypotheses on hosts that lost their links to all upstreams differ in these: connections that are not opened at all, and calls on kept connections that get no answer. Lost connections and crashes have counters already.

--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -27,6 +27,8 @@
 	defStreamsResumed       = counters.Define("dispatch_streams_resumed", "streams that went on at an engine within the same response")
 	defStreamsOtherVersion  = counters.Define("dispatch_streams_other_version", "those that went on at another software version than the one that began them")
 	defVersionsGone         = counters.Define("dispatch_versions_gone", "streams that could not go on because no engine of the software version that began them took work")
+	defNotReached           = counters.Define("dispatch_not_reached", "calls, reservations and streams that were not sent, as no connection to the upstream was opened")
+	defSilent               = counters.Define("dispatch_silent", "calls that were sent and got no answer in their time")
 	defPrefillWasted        = counters.Define("dispatch_prefill_wasted", "prefilled prompts that were discarded unused")
 )
 
@@ -34,7 +36,8 @@
 	refused, answered, retried, streamsBroken, disconnected,
 	reservations, reservationsRejected, prefillsWasted, prefillBusy,
 	connectionsLost, crashes, crashesUnknown, isolated, rateLimited,
-	streamsTakenUp, streamsResumed, streamsOtherVersion, versionsGone *expvar.Int
+	streamsTakenUp, streamsResumed, streamsOtherVersion, versionsGone,
+	notReached, silent *expvar.Int
 	slotWait, prefill, call *counters.Histogram
 }
 
@@ -46,7 +49,7 @@
 		prefillBusy: set.Int(defPrefillBusy), connectionsLost: set.Int(defConnectionsLost),
 		crashes: set.Int(defCrashes), crashesUnknown: set.Int(defCrashesUnknown), isolated: set.Int(defIsolated), rateLimited: set.Int(defRateLimited),
 		streamsTakenUp: set.Int(defStreamsTakenUp), streamsResumed: set.Int(defStreamsResumed), streamsOtherVersion: set.Int(defStreamsOtherVersion),
-		versionsGone: set.Int(defVersionsGone),
+		versionsGone: set.Int(defVersionsGone), notReached: set.Int(defNotReached), silent: set.Int(defSilent),
 		slotWait:     set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
 	}
 }
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -14,10 +14,21 @@
 // maxLoggedParts bounds the parts of a prompt that a log line names.
 const maxLoggedParts = 8
 
+// countFailure counts a call that failed without a word of the upstream.
+func (g *Gate) countFailure(call *traffic.CallError) {
+	switch {
+	case call.Effect == traffic.EffectNotSent:
+		g.metrics.notReached.Add(1)
+	case call.Effect == traffic.EffectUnknown && !call.ConnectionLost:
+		g.metrics.silent.Add(1)
+	}
+}
+
 // observeFailure counts a call that failed because its connection was lost, and finds out
 // whether the upstream's process has ended. If so, the request gets a strike. A leaving
 // upstream closes its connections as planned, so its end is no crash.
 func (g *Gate) observeFailure(ctx context.Context, f *inFlight, up *traffic.Upstream, call *traffic.CallError) {
+	g.countFailure(call)
 	if !call.ConnectionLost {
 		return
 	}
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -327,6 +327,7 @@
 	}
 	g.metrics.reservationsRejected.Add(1)
 	call := asCallError(err)
+	g.countFailure(call)
 	if call.Misdirected || call.Effect != traffic.EffectRejected {
 		t := g.stats.forUpstream(up)
 		t.callStarted()
