--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -50,6 +50,6 @@
 		crashes: set.Int(defCrashes), crashesUnknown: set.Int(defCrashesUnknown), isolated: set.Int(defIsolated), rateLimited: set.Int(defRateLimited),
 		streamsTakenUp: set.Int(defStreamsTakenUp), streamsResumed: set.Int(defStreamsResumed), streamsOtherVersion: set.Int(defStreamsOtherVersion),
 		versionsGone: set.Int(defVersionsGone), notReached: set.Int(defNotReached), silent: set.Int(defSilent),
-		slotWait:     set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
+		slotWait: set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
 	}
 }
