platformentry: failing tests of hosts that lost their links to all upstreams

Each host reaches the workers over links of its own, which hang, reset, refuse new connections or lose one direction.

--- /dev/null
+++ b/platformentry/cut_test.go
@@ -0,0 +1,240 @@
+package platformentry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"greengagespoke/internal/knownred"
+	"greengagespoke/platform/platformtest"
+	"greengagespoke/platform/wire"
+)
+
+const (
+	// cutLength is how long hosts are cut. Requests are counted from contactTime after its
+	// beginning, and again from contactTime after its end for afterCut.
+	cutLength = contactTime + 3*time.Second
+	afterCut  = time.Second
+	// cutMargin is the time before the end of the cut whose requests are not counted.
+	cutMargin = 300 * time.Millisecond
+	// cutDeadline is how long callers wait for an answer, in milliseconds.
+	cutDeadline = "2500"
+	// cutCallers is the number of callers at each host, cutGap the time from an answer to the
+	// next request.
+	cutCallers = 2
+	cutGap     = 25 * time.Millisecond
+	// minCutShare is the share of what the other hosts serve that cut hosts must serve.
+	minCutShare = 2.0 / 3
+	// maxCutRefusalDelay is how long a request may be held that no host can serve.
+	maxCutRefusalDelay = time.Second
+)
+
+// cutTrial cuts some hosts from all workers while callers send requests to all hosts.
+type cutTrial struct {
+	path       string
+	mode       platformtest.LinkMode
+	hosts, cut int
+	// only selects the workers that cut hosts lose; nil for all.
+	only func(w *platformtest.Worker) bool
+	// workersGone ends all workers instead of cutting hosts.
+	workersGone bool
+	// oneByOne brings the links back one after the other in the second half of the cut.
+	oneByOne bool
+
+	t     *testing.T
+	d     *deployment
+	links map[*host]*platformtest.HostLinks
+	mu    sync.Mutex
+	// cutServed and otherServed count the requests of the time that counts.
+	cutServed, otherServed, healed served
+	slowestRefusal                 time.Duration
+	untrue                         []string
+}
+
+// served counts requests, those that were answered, and other answers by status.
+type served struct {
+	sent, answered int
+	statuses       map[int]int
+}
+
+func (s *served) count(got response) {
+	if s.statuses == nil {
+		s.statuses = make(map[int]int)
+	}
+	s.sent++
+	s.statuses[got.status]++
+	if got.status == http.StatusOK && got.err == nil {
+		s.answered++
+	}
+}
+
+func (s *served) share() float64 { return float64(s.answered) / float64(max(1, s.sent)) }
+
+func (c *cutTrial) play(t *testing.T) {
+	t.Helper()
+	c.t, c.links = t, make(map[*host]*platformtest.HostLinks)
+	c.d = &deployment{t: t, store: platformtest.NewStore(), workers: make(map[string]*platformtest.Worker)}
+	t.Cleanup(c.d.store.Close)
+	c.d.configure(1, "ledger")
+	for i := range 3 {
+		for _, w := range []*platformtest.Worker{
+			platformtest.NewWorker(fmt.Sprint("led-", i), "ledger", "z-a", ""),
+			platformtest.NewWorker(fmt.Sprint("dec-", i), "models", "z-b", "decode"),
+			platformtest.NewWorker(fmt.Sprint("pre-", i), "models", "z-a", "prefill"),
+		} {
+			c.d.workers[w.ID] = w
+			w.SetStream(5, 10*time.Millisecond)
+			w.Register(c.d.store, "ready")
+			t.Cleanup(w.Close)
+		}
+	}
+	for i := range c.hosts {
+		links := platformtest.NewHostLinks(c.d.store)
+		t.Cleanup(links.Close)
+		h := c.d.startHostAt(fmt.Sprintf("host-%d", i), []string{"z-a", "z-b", "z-c"}[i%3], links.StoreAddress())
+		c.links[h] = links
+	}
+	for _, h := range c.d.hosts {
+		c.d.waitFor("upstreams known", func() bool {
+			return c.d.send(h, "GET", "/status/x", nil).status == 200 && c.d.send(h, "POST", "/draft/x", nil).status == 200
+		})
+	}
+	c.d.waitForMembers()
+	began := time.Now()
+	over := func() bool { return time.Since(began) > cutLength+contactTime+afterCut }
+	var callers sync.WaitGroup
+	for i, h := range c.d.hosts {
+		for range cutCallers {
+			callers.Go(func() { c.send(h, i < c.cut, began, over) })
+		}
+	}
+	c.begin()
+	time.Sleep(cutLength / 2)
+	if c.oneByOne {
+		c.heal("dec-0", "pre-0", "led-0")
+	}
+	time.Sleep(time.Until(began.Add(cutLength)))
+	c.heal()
+	callers.Wait()
+	c.report()
+}
+
+// begin cuts the hosts, or ends all workers.
+func (c *cutTrial) begin() {
+	if c.workersGone {
+		for _, w := range c.d.workers {
+			w.Close()
+		}
+		return
+	}
+	lost := make(map[string]bool)
+	for _, w := range c.d.workers {
+		lost[w.Address()] = c.only == nil || c.only(w)
+	}
+	for _, h := range c.d.hosts[:c.cut] {
+		c.links[h].SetSome(c.mode, func(address string) bool { return lost[address] })
+	}
+}
+
+// heal brings the links to some workers back, or all of them.
+func (c *cutTrial) heal(only ...string) {
+	back := make(map[string]bool)
+	for _, id := range only {
+		back[c.d.workers[id].Address()] = true
+	}
+	for _, h := range c.d.hosts[:c.cut] {
+		c.links[h].SetSome(platformtest.LinkOpen, func(address string) bool { return len(only) == 0 || back[address] })
+	}
+}
+
+func (c *cutTrial) send(h *host, cut bool, began time.Time, over func() bool) {
+	for n := 0; !over(); n++ {
+		sent := time.Now()
+		got := c.d.sendBody(h, "POST", fmt.Sprint(c.path, n), http.Header{wire.HeaderDeadline: {cutDeadline}}, fmt.Sprint("body ", n))
+		c.count(got, cut, sent.Sub(began), time.Since(sent))
+		time.Sleep(cutGap)
+	}
+}
+
+func (c *cutTrial) count(got response, cut bool, at, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	once := strings.HasPrefix(c.path, "/filing/") || strings.HasPrefix(c.path, "/draft/")
+	if ran := c.d.executions(got.id); once && (ran > 1 || got.status == http.StatusServiceUnavailable && ran > 0) && len(c.untrue) < 5 {
+		c.untrue = append(c.untrue, fmt.Sprintf("%s after %s: status %d, ran %d times", got.id, at, got.status, ran))
+	}
+	if at > cutLength+contactTime {
+		c.healed.count(got)
+		return
+	}
+	if at > contactTime && at < cutLength-cutMargin && (got.status != http.StatusOK || at+took > cutLength) {
+		c.slowestRefusal = max(c.slowestRefusal, took)
+	}
+	if at+took > cutLength {
+		// It may have waited until the links were back.
+		got.status = 0
+	}
+	switch {
+	case at < contactTime || at > cutLength-cutMargin:
+	case cut:
+		c.cutServed.count(got)
+	default:
+		c.otherServed.count(got)
+	}
+}
+
+func (c *cutTrial) report() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.t.Logf("cut hosts answered %d of %d %v, the others %d of %d %v, %d of %d after the cut, refused within %s, untrue %q",
+		c.cutServed.answered, c.cutServed.sent, c.cutServed.statuses, c.otherServed.answered, c.otherServed.sent, c.otherServed.statuses,
+		c.healed.answered, c.healed.sent, c.slowestRefusal.Round(time.Millisecond), c.untrue)
+	if len(c.untrue) > 0 {
+		knownred.Errorf(c.t, "untrue refusals or calls that ran twice: %q", c.untrue)
+	}
+	if c.cut < c.hosts && !c.workersGone && c.cutServed.share() < minCutShare*c.otherServed.share() {
+		knownred.Errorf(c.t, "cut hosts answered %d of %d requests, the others %d of %d", c.cutServed.answered, c.cutServed.sent, c.otherServed.answered, c.otherServed.sent)
+	}
+	if c.cut < c.hosts && !c.workersGone && c.otherServed.share() < 0.95 {
+		knownred.Errorf(c.t, "the other hosts answered %d of %d requests", c.otherServed.answered, c.otherServed.sent)
+	}
+	if (c.cut == c.hosts || c.workersGone) && c.slowestRefusal > maxCutRefusalDelay {
+		knownred.Errorf(c.t, "a request that no host can serve was refused after %s, want it told at once", c.slowestRefusal)
+	}
+	if !c.workersGone && c.healed.share() < 0.95 {
+		knownred.Errorf(c.t, "%d of %d requests were answered after the cut", c.healed.answered, c.healed.sent)
+	}
+}
+
+// Callers of hosts that have lost their links to all upstreams must be served about as well as
+// those of the others, and refused at once where no host reaches one.
+func TestHostsCutFromUpstreamsServe(t *testing.T) {
+	for name, trial := range map[string]*cutTrial{
+		"repeatable-hang":    {path: "/status/", mode: platformtest.LinkHang, hosts: 5, cut: 2},
+		"repeatable-reset":   {path: "/status/", mode: platformtest.LinkReset, hosts: 4, cut: 3},
+		"repeatable-refuse":  {path: "/status/", mode: platformtest.LinkRefuse, hosts: 5, cut: 2},
+		"repeatable-one-way": {path: "/status/", mode: platformtest.LinkOneWay, hosts: 5, cut: 2},
+		"send-once-hang":     {path: "/filing/", mode: platformtest.LinkHang, hosts: 6, cut: 4},
+		"send-once-reset":    {path: "/filing/", mode: platformtest.LinkReset, hosts: 5, cut: 2},
+		"send-once-one-way":  {path: "/filing/", mode: platformtest.LinkOneWay, hosts: 5, cut: 2},
+		"stream-hang":        {path: "/draft/", mode: platformtest.LinkHang, hosts: 5, cut: 2},
+		"stream-reset":       {path: "/draft/", mode: platformtest.LinkReset, hosts: 5, cut: 2},
+		"stream-refuse":      {path: "/draft/", mode: platformtest.LinkRefuse, hosts: 5, cut: 2},
+		"resumable-hang":     {path: "/note/", mode: platformtest.LinkHang, hosts: 5, cut: 2},
+		"resumable-reset":    {path: "/note/", mode: platformtest.LinkReset, hosts: 5, cut: 3},
+		"one-service":        {path: "/filing/", mode: platformtest.LinkHang, hosts: 5, cut: 2, only: func(w *platformtest.Worker) bool { return w.Service == "ledger" }},
+		"one-by-one":         {path: "/filing/", mode: platformtest.LinkHang, hosts: 5, cut: 2, oneByOne: true},
+		"all-hosts-hang":     {path: "/filing/", mode: platformtest.LinkHang, hosts: 4, cut: 4},
+		"all-hosts-reset":    {path: "/note/", mode: platformtest.LinkReset, hosts: 4, cut: 4},
+		"workers-gone":       {path: "/status/", hosts: 4, workersGone: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			defer knownred.Done(t)
+			trial.play(t)
+		})
+	}
+}
--- a/platformentry/fixture_test.go
+++ b/platformentry/fixture_test.go
@@ -96,9 +96,15 @@
 }
 
 func (d *deployment) startHost(name, zone string) *host {
+	d.t.Helper()
+	return d.startHostAt(name, zone, d.store.Address())
+}
+
+// startHostAt starts a host that reads the store at an address.
+func (d *deployment) startHostAt(name, zone, storeAddress string) *host {
 	d.t.Helper()
 	return d.runHost(&settings.Settings{
-		Host: hostID(name), Zone: zoneID(zone), StoreAddress: d.store.Address(), IP: "127.0.0.1",
+		Host: hostID(name), Zone: zoneID(zone), StoreAddress: storeAddress, IP: "127.0.0.1",
 		Callers: freeAddress(d.t), Ready: freeAddress(d.t), Directory: freeAddress(d.t), Peers: freeAddress(d.t),
 		DrainLimit: 8 * time.Second, MaxAddressListTTL: 5 * time.Second,
 		RetryRatio: 0.2, RetryExtra: 200, RetryWindow: 10 * time.Second, OrderLease: 3 * time.Second,
