reach, dispatch: hosts cut from upstreams let other hosts serve their callers

Cause: a host had no other way than its own links. It went on trying one upstream after the other with the time limits of a whole call, for each request anew, and refused or let deadlines pass, though hosts beside it reached all upstreams. Send-once calls went into kept connections that hung.

One that reaches the service serves the request as if its caller had sent it there: caller, identifier, remaining time, body, events and the caller's leaving hold across the hop, an untrue "not run" is ruled out by the effects of calls, and a request makes one hop at most. If no host reaches the service, the request is refused at once. A connection that was refused counts as a crash only if other hosts find nothing listening there either, so that links that reset cause no strikes.

--- a/adapters/peerrpc/peers.go
+++ b/adapters/peerrpc/peers.go
@@ -59,6 +59,7 @@
 	relay   relayClient
 	rates   rateClient
 	origins originClient
+	reach   reachClient
 }
 
 // NewPeers returns clients for the other hosts in the membership.
@@ -160,6 +161,14 @@
 	return unreachable{}
 }
 
+// Reach returns a client for a host that tells what it reaches.
+func (p *Peers) Reach(host domain.HostID) ports.ReachPeer {
+	if set, ok := p.remote(host); ok {
+		return set.reach
+	}
+	return unreachable{}
+}
+
 // localFor returns the local implementations if host is this host, and none
 // otherwise.
 func (p *Peers) localFor(host domain.HostID) Local {
@@ -210,5 +219,6 @@
 		relay:   relayClient{host, peerpb.NewRelayServiceProtobufClient(base, p.client)},
 		rates:   rateClient{host, peerpb.NewRateServiceProtobufClient(base, p.client)},
 		origins: originClient{host, peerpb.NewOriginServiceProtobufClient(base, p.client)},
+		reach:   reachClient{host, peerpb.NewReachServiceProtobufClient(base, p.client)},
 	}
 }
--- a/adapters/peerrpc/server.go
+++ b/adapters/peerrpc/server.go
@@ -33,6 +33,7 @@
 	peerpb.RelayServicePathPrefix:  serviceRelay,
 	peerpb.RateServicePathPrefix:   serviceRates,
 	peerpb.OriginServicePathPrefix: serviceOrigins,
+	peerpb.ReachServicePathPrefix:  serviceReach,
 }
 
 // ServerConfig holds the local implementations that other hosts may call, and the
@@ -51,6 +52,9 @@
 	// Origins keeps the origins of streams. If it is nil, calls fail with
 	// ports.ErrPeerUnreachable.
 	Origins ports.OriginPeer
+	// Reach tells what this host reaches. If it is nil, calls fail with
+	// ports.ErrPeerUnreachable.
+	Reach ports.ReachPeer
 	// Key is the secret that all hosts share.
 	Key string
 	// ClockSkew is the largest accepted difference between the wall clocks of two
@@ -72,6 +76,7 @@
 		peerpb.NewRelayServiceServer(relayService{cfg.Relay}),
 		peerpb.NewRateServiceServer(rateService{cfg.Rates}),
 		peerpb.NewOriginServiceServer(originService{cfg.Origins}),
+		peerpb.NewReachServiceServer(reachService{cfg.Reach}),
 	} {
 		mux.Handle(s.PathPrefix(), s)
 	}
--- a/adapters/peerrpc/traffic.go
+++ b/adapters/peerrpc/traffic.go
@@ -20,9 +20,10 @@
 	serviceRelay   service = "relay"
 	serviceRates   service = "rates"
 	serviceOrigins service = "origins"
+	serviceReach   service = "reach"
 )
 
-var services = []service{serviceKeeper, serviceGossip, serviceTables, serviceGate, serviceRelay, serviceRates, serviceOrigins}
+var services = []service{serviceKeeper, serviceGossip, serviceTables, serviceGate, serviceRelay, serviceRates, serviceOrigins, serviceReach}
 
 // trafficDefs are the counter definitions of one service.
 type trafficDefs struct {
@@ -48,6 +49,7 @@
 		serviceRelay:   defineTraffic(serviceRelay),
 		serviceRates:   defineTraffic(serviceRates),
 		serviceOrigins: defineTraffic(serviceOrigins),
+		serviceReach:   defineTraffic(serviceReach),
 	}
 	defUnauthenticated = counters.Define("peerrpc_unauthenticated", "requests of other hosts refused because of a wrong key or clock")
 	defUnreachable     = counters.Define("peerrpc_unreachable", "calls to other hosts that got no answer")
--- a/adapters/peerrpc/unreachable.go
+++ b/adapters/peerrpc/unreachable.go
@@ -88,3 +88,8 @@
 func (unreachable) Find(context.Context, ports.OriginQuery) (ports.OriginReply, error) {
 	return ports.OriginReply{}, ports.ErrPeerUnreachable
 }
+
+// Reach implements ports.ReachPeer.
+func (unreachable) Reach(context.Context, ports.ReachQuery) (ports.ReachReply, error) {
+	return ports.ReachReply{}, ports.ErrPeerUnreachable
+}
--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -29,6 +29,8 @@
 	defVersionsGone         = counters.Define("dispatch_versions_gone", "streams that could not go on because no engine of the software version that began them took work")
 	defNotReached           = counters.Define("dispatch_not_reached", "calls, reservations and streams that were not sent, as no connection to the upstream was opened")
 	defSilent               = counters.Define("dispatch_silent", "calls that were sent and got no answer in their time")
+	defPassedOn             = counters.Define("dispatch_passed_on", "requests that were passed on to another host, as this one reached no upstream")
+	defHopsFailed           = counters.Define("dispatch_hops_failed", "those that the other host did not serve")
 	defPrefillWasted        = counters.Define("dispatch_prefill_wasted", "prefilled prompts that were discarded unused")
 )
 
@@ -37,7 +39,7 @@
 	reservations, reservationsRejected, prefillsWasted, prefillBusy,
 	connectionsLost, crashes, crashesUnknown, isolated, rateLimited,
 	streamsTakenUp, streamsResumed, streamsOtherVersion, versionsGone,
-	notReached, silent *expvar.Int
+	notReached, silent, passedOn, hopsFailed *expvar.Int
 	slotWait, prefill, call *counters.Histogram
 }
 
@@ -50,6 +52,7 @@
 		crashes: set.Int(defCrashes), crashesUnknown: set.Int(defCrashesUnknown), isolated: set.Int(defIsolated), rateLimited: set.Int(defRateLimited),
 		streamsTakenUp: set.Int(defStreamsTakenUp), streamsResumed: set.Int(defStreamsResumed), streamsOtherVersion: set.Int(defStreamsOtherVersion),
 		versionsGone: set.Int(defVersionsGone), notReached: set.Int(defNotReached), silent: set.Int(defSilent),
+		passedOn: set.Int(defPassedOn), hopsFailed: set.Int(defHopsFailed),
 		slotWait: set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
 	}
 }
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -73,6 +73,6 @@
 		klog.InfoS("upstream may have crashed", "request", f.req.ID, "fingerprint", f.req.Fingerprint, "upstream", up.ID, "err", err)
 		return false
 	}
-	t.crashed = !listening
+	t.crashed = !listening && g.cfg.Reach.Ended(ctx, up)
 	return t.crashed
 }
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -15,6 +15,7 @@
 	"greengagespoke/origins"
 	"greengagespoke/quarantine"
 	"greengagespoke/ratelimit"
+	"greengagespoke/reach"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
@@ -278,11 +279,20 @@
 		Quarantine: quarantine.New(quarantine.Config{Counters: counters.NewSet()}),
 		RateLimits: newRateLimits(),
 		Origins:    origins.New(origins.Config{Self: "h", Members: func() []domain.Member { return nil }, Counters: counters.NewSet()}),
+		Reach:      newReach(f, c),
 		Decides:    func(uint64) bool { return !f.undecided },
 		Counters:   counters.NewSet(), Loads: stages.NewLoads(), Rejecting: func() bool { return f.leaving },
 	})
 }
 
+// newReach returns the reach of a host that is alone and takes all services for reached.
+func newReach(f *fixture, c *catalog.Catalog) *reach.Monitor {
+	return reach.New(reach.Config{
+		Self: "h", Services: func() []traffic.ServiceName { return nil }, Ready: c.Ready, Listening: f.Listening,
+		Members: func() []domain.Member { return nil }, Counters: counters.NewSet(),
+	})
+}
+
 // newRateLimits returns the rate limits of a host that is alone.
 func newRateLimits() *ratelimit.Limits {
 	return ratelimit.New(ratelimit.Config{
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -13,6 +13,7 @@
 	"greengagespoke/origins"
 	"greengagespoke/quarantine"
 	"greengagespoke/ratelimit"
+	"greengagespoke/reach"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
 )
@@ -42,6 +43,9 @@
 	Quarantine *quarantine.List
 	// RateLimits holds the rate limits that upstreams state.
 	RateLimits *ratelimit.Limits
+	// Reach knows which services this host reaches, Hops passes requests on to hosts that do.
+	Reach *reach.Monitor
+	Hops  traffic.Hops
 	// Origins knows which software version began each stream.
 	Origins *origins.Origins
 	// Decides reports whether this host, and no other one, runs a request of which it is
@@ -104,6 +108,10 @@
 		g.refuse(req, caller, refusal)
 		return
 	}
+	if refusal := g.declineHop(req, config); refusal != nil {
+		g.refuse(req, caller, refusal)
+		return
+	}
 	f := &inFlight{
 		req: req, route: route, configVersion: config.Version,
 		slotNeededSince: req.Arrived, answerDeadline: req.Deadline, sent: make(map[domain.UpstreamID]bool), tried: make(map[domain.UpstreamID]bool),
@@ -126,7 +134,15 @@
 		g.refuse(req, caller, refusal)
 		return
 	}
-	g.cfg.Budget.RecordRequest(f.service, req.Arrived)
+	if g.isCutOff(f) {
+		if refusal := g.passOn(ctx, &hop{inFlight: f, caller: caller}); refusal != nil {
+			g.refuse(req, caller, refusal)
+		}
+		return
+	}
+	if req.Hop == nil || !req.Hop.Counted {
+		g.cfg.Budget.RecordRequest(f.service, req.Arrived)
+	}
 	if f.isGeneration() {
 		g.serveGeneration(ctx, f, caller)
 		return
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -71,6 +71,11 @@
 			g.metrics.retried.Add(1)
 			continue
 		}
+		if refusal.Kind == domain.RefusalCutOff && ctx.Err() == nil {
+			if refusal = g.passOnGeneration(ctx, n); refusal == nil {
+				return
+			}
+		}
 		if n.headSent {
 			g.metrics.streamsBroken.Add(1)
 			klog.InfoS("stream broken off", "request", f.req.ID, "events", n.eventsSent, "reason", refusal.Kind, "message", refusal.Message)
@@ -417,6 +422,7 @@
 	n.streamCalls++
 	n.sent[up.ID] = true
 	stream, err := g.startStream(ctx, n, reservation, prompt)
+	g.observeReach(ctx, n.service, err)
 	if err == nil {
 		return stream, nil
 	}
@@ -487,6 +493,7 @@
 		if err != nil {
 			return err
 		}
+		g.cfg.Reach.Reached(n.service)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -157,6 +157,9 @@
 		if refusal := p.gate.versionGone(f); refusal != nil {
 			return nil, refusal
 		}
+		if p.gate.isCutOff(f) {
+			return nil, cutOffRefusal(f.service)
+		}
 		now := time.Now()
 		if q.isFirst(w, now) {
 			r, limited := p.tryReserve(ctx, f, q, now, now.After(w.onTimeUntil))
@@ -322,6 +325,7 @@
 	g.metrics.reservations.Add(1)
 	began := time.Now()
 	r, err := g.cfg.Upstreams.Reserve(ctx, up, tokens, ttl)
+	g.observeReach(ctx, f.service, err)
 	if err == nil {
 		return r, nil
 	}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -74,9 +74,25 @@
 		caller.Answer(c.answer)
 		return
 	}
+	if g.mayPassOn(c) {
+		h := &hop{inFlight: f, caller: caller}
+		h.opts.Counted = true
+		if refusal := g.passOn(ctx, h); refusal == nil {
+			return
+		} else if h.mayHaveRun {
+			g.refuse(f.req, caller, refusal)
+			return
+		}
+	}
 	g.refuse(f.req, caller, g.plainRefusal(c))
 }
 
+// mayPassOn reports whether another host may serve a call: none of the upstreams that were
+// asked has been reached.
+func (g *Gate) mayPassOn(c *plainCall) bool {
+	return c.delivered == 0 && !c.mayHaveRun && c.notBegun == nil && !c.rateLimited && c.lastErr != nil && c.req.Hop == nil
+}
+
 // nextUpstream returns the upstream of the next attempt, or nil if there is none or
 // no further attempt is allowed.
 func (g *Gate) nextUpstream(ctx context.Context, c *plainCall) *traffic.Upstream {
@@ -115,6 +131,7 @@
 	if err == nil && answer.Unframed {
 		err = g.checkUnframedEnd(ctx, f, up)
 	}
+	g.observeReach(ctx, f.service, err)
 	elapsed := time.Since(began)
 	g.metrics.call.Record(elapsed)
 	result := g.outcomeOf(ctx, answer, err)
--- a/domain/refusal.go
+++ b/domain/refusal.go
@@ -43,6 +43,7 @@
 	RefusalTooLarge        RefusalKind = "too_large"
 	RefusalCanceled        RefusalKind = "canceled"
 	RefusalInternal        RefusalKind = "internal"
+	RefusalCutOff          RefusalKind = "cut_off"
 	RefusalNotResumable    RefusalKind = "not_resumable"
 )
 
--- a/internal/archtest/imports_test.go
+++ b/internal/archtest/imports_test.go
@@ -21,7 +21,7 @@
 	"domain", "ports", "counters", "groups", "routing", "placement", "keeper", "claims", "quarantine",
 	"tables", "membership", "orders", "entrypoints", "fairqueue", "retry",
 	"hostwatch", "host", "leases", "storeguard", "relay",
-	"traffic", "catalog", "dispatch", "stages", "storerelay", "ratelimit", "origins", "rendezvous",
+	"traffic", "catalog", "dispatch", "stages", "storerelay", "ratelimit", "origins", "rendezvous", "reach",
 }
 
 // TestImportsPointInwards checks that decisions import neither adapters nor
--- a/platformentry/cut_test.go
+++ b/platformentry/cut_test.go
@@ -18,6 +18,8 @@
 	// beginning, and again from contactTime after its end for afterCut.
 	cutLength = contactTime + 3*time.Second
 	afterCut  = time.Second
+	// beforeCut is how long callers send requests before it.
+	beforeCut = 300 * time.Millisecond
 	// cutMargin is the time before the end of the cut whose requests are not counted.
 	cutMargin = 300 * time.Millisecond
 	// cutDeadline is how long callers wait for an answer, in milliseconds.
@@ -48,6 +50,7 @@
 	d     *deployment
 	links map[*host]*platformtest.HostLinks
 	mu    sync.Mutex
+	began time.Time
 	// cutServed and otherServed count the requests of the time that counts.
 	cutServed, otherServed, healed served
 	slowestRefusal                 time.Duration
@@ -94,7 +97,11 @@
 	for i := range c.hosts {
 		links := platformtest.NewHostLinks(c.d.store)
 		t.Cleanup(links.Close)
-		h := c.d.startHostAt(fmt.Sprintf("host-%d", i), []string{"z-a", "z-b", "z-c"}[i%3], links.StoreAddress())
+		storeAddress := links.StoreAddress()
+		if c.workersGone {
+			storeAddress = c.d.store.Address() // A link accepts connections also without its worker.
+		}
+		h := c.d.startHostAt(fmt.Sprintf("host-%d", i), []string{"z-a", "z-b", "z-c"}[i%3], storeAddress)
 		c.links[h] = links
 	}
 	for _, h := range c.d.hosts {
@@ -103,15 +110,19 @@
 		})
 	}
 	c.d.waitForMembers()
-	began := time.Now()
-	over := func() bool { return time.Since(began) > cutLength+contactTime+afterCut }
+	over := func() bool { return c.since(time.Now()) > cutLength+contactTime+afterCut }
 	var callers sync.WaitGroup
 	for i, h := range c.d.hosts {
 		for range cutCallers {
-			callers.Go(func() { c.send(h, i < c.cut, began, over) })
+			callers.Go(func() { c.send(h, i < c.cut, over) })
 		}
 	}
+	time.Sleep(beforeCut)
 	c.begin()
+	began := time.Now()
+	c.mu.Lock()
+	c.began = began
+	c.mu.Unlock()
 	time.Sleep(cutLength / 2)
 	if c.oneByOne {
 		c.heal("dec-0", "pre-0", "led-0")
@@ -122,6 +133,16 @@
 	c.report()
 }
 
+// since returns the time since the hosts were cut, negative before.
+func (c *cutTrial) since(t time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.began.IsZero() {
+		return -1
+	}
+	return t.Sub(c.began)
+}
+
 // begin cuts the hosts, or ends all workers.
 func (c *cutTrial) begin() {
 	if c.workersGone {
@@ -134,9 +155,7 @@
 	for _, w := range c.d.workers {
 		lost[w.Address()] = c.only == nil || c.only(w)
 	}
-	for _, h := range c.d.hosts[:c.cut] {
-		c.links[h].SetSome(c.mode, func(address string) bool { return lost[address] })
-	}
+	c.set(c.mode, func(address string) bool { return lost[address] })
 }
 
 // heal brings the links to some workers back, or all of them.
@@ -145,16 +164,23 @@
 	for _, id := range only {
 		back[c.d.workers[id].Address()] = true
 	}
+	c.set(platformtest.LinkOpen, func(address string) bool { return len(only) == 0 || back[address] })
+}
+
+// set changes the links of the cut hosts to some workers.
+func (c *cutTrial) set(mode platformtest.LinkMode, selects func(address string) bool) {
+	var changing sync.WaitGroup
 	for _, h := range c.d.hosts[:c.cut] {
-		c.links[h].SetSome(platformtest.LinkOpen, func(address string) bool { return len(only) == 0 || back[address] })
+		changing.Go(func() { c.links[h].SetSome(mode, selects) })
 	}
+	changing.Wait()
 }
 
-func (c *cutTrial) send(h *host, cut bool, began time.Time, over func() bool) {
+func (c *cutTrial) send(h *host, cut bool, over func() bool) {
 	for n := 0; !over(); n++ {
 		sent := time.Now()
 		got := c.d.sendBody(h, "POST", fmt.Sprint(c.path, n), http.Header{wire.HeaderDeadline: {cutDeadline}}, fmt.Sprint("body ", n))
-		c.count(got, cut, sent.Sub(began), time.Since(sent))
+		c.count(got, cut, c.since(sent), time.Since(sent))
 		time.Sleep(cutGap)
 	}
 }
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
@@ -35,6 +37,7 @@
 	"greengagespoke/ports"
 	"greengagespoke/quarantine"
 	"greengagespoke/ratelimit"
+	"greengagespoke/reach"
 	"greengagespoke/rendezvous"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
@@ -93,6 +96,7 @@
 	strikes     *registry.Strikes
 	rateLimits  *ratelimit.Limits
 	origins     *origins.Origins
+	reach       *reach.Monitor
 	peers       *peerrpc.Peers
 	balancer    *stages.Balancer
 	app         *kratos.App
@@ -140,6 +144,10 @@
 		Self: s.Host, Members: d.members.Members, Counters: counterSet,
 		Peer: func(host domain.HostID) ports.OriginPeer { return d.peers.Origins(host) },
 	})
+	d.reach = reach.New(reach.Config{
+		Self: s.Host, Services: d.services, Ready: d.catalog.Ready, Listening: d.upstreams.Listening, Members: d.members.Members,
+		Peer: func(host domain.HostID) ports.ReachPeer { return d.peers.Reach(host) }, Counters: counterSet,
+	})
 	d.peers = d.newPeers(counterSet)
 	peers := d.peers
 	d.members.Bind(peers)
@@ -151,7 +159,8 @@
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load,
 		Budget: d.retryBudget, Loads: loads, Quarantine: d.quarantine, Decides: d.decides,
-		RateLimits: d.rateLimits, Origins: d.origins,
+		RateLimits: d.rateLimits, Origins: d.origins, Reach: d.reach,
+		Hops: upstream.Hops{Client: d.upstreams, Address: d.peerAddress},
 	})
 	d.balancer = stages.New(stages.Config{
 		Self: s.Host, Services: d.modelServices, Members: d.members.Members, Loads: loads,
@@ -224,6 +233,7 @@
 	group.Go(func() error { return d.strikes.Run(loopCtx) })
 	group.Go(func() error { return d.rateLimits.Run(loopCtx) })
 	group.Go(func() error { return d.origins.Run(loopCtx) })
+	group.Go(func() error { return d.reach.Run(loopCtx) })
 	group.Go(func() error { return d.upstreams.Run(loopCtx) })
 	group.Go(func() error { return d.members.Run(loopCtx) })
 	if d.settings.OrderLease > 0 {
@@ -255,6 +265,26 @@
 	return err
 }
 
+// services returns the names of all services.
+func (d *Daemon) services() []traffic.ServiceName {
+	config := d.catalog.Config()
+	if config == nil {
+		return nil
+	}
+	return slices.Collect(maps.Keys(config.Services))
+}
+
+// peerAddress returns the address at which another host listens for hosts, or "" if it is not
+// known.
+func (d *Daemon) peerAddress(host domain.HostID) string {
+	for _, m := range d.members.Members() {
+		if m.ID == host {
+			return m.PeerAddress
+		}
+	}
+	return ""
+}
+
 // modelServices returns the services that have model engines, each with its engines
 // that accept work.
 func (d *Daemon) modelServices() []stages.Service {
@@ -299,10 +329,11 @@
 	}
 	peers := khttp.NewServer(khttp.Address(d.settings.Peers), khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler {
-			return peerrpc.NewServer(peerrpc.ServerConfig{
+			return ingress.NewHops(ingress.CallersConfig{Serve: d.serve, Limits: limits, Leaving: d.leaving.Load}, peerrpc.NewServer(peerrpc.ServerConfig{
 				Gossip: d.members, Tables: d.configPeers, Relay: d.storeSource.Mirror(), Rates: d.rateLimits, Origins: d.origins,
-				Key: peerKey, ClockSkew: maxClockSkew, Counters: counterSet,
-			})
+				Reach: d.reach,
+				Key:   peerKey, ClockSkew: maxClockSkew, Counters: counterSet,
+			}))
 		}))
 	listeners := []kratosServer{
 		ingress.NewCallers(ingress.CallersConfig{
--- a/platformentry/fixture_test.go
+++ b/platformentry/fixture_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,15 +27,17 @@
 	waitTimeout = 60 * time.Second
 )
 
+// lastRequestID numbers the requests of all deployments, so that one that went astray shows.
+var lastRequestID atomic.Uint64
+
 // deployment is a complete deployment on loopback: the store, the workers and the
 // entry hosts.
 type deployment struct {
-	t             *testing.T
-	store         *platformtest.Store
-	workers       map[string]*platformtest.Worker
-	hosts         []*host
-	lastRequestID int
-	mu            sync.Mutex
+	t       *testing.T
+	store   *platformtest.Store
+	workers map[string]*platformtest.Worker
+	hosts   []*host
+	mu      sync.Mutex
 }
 
 // host is one entry host under test.
@@ -173,10 +176,7 @@
 }
 
 func (d *deployment) openBody(ctx context.Context, h *host, method, path string, header http.Header, body string) (id string, resp *http.Response, err error) {
-	d.mu.Lock()
-	d.lastRequestID++
-	id = fmt.Sprintf("%016x", d.lastRequestID)
-	d.mu.Unlock()
+	id = fmt.Sprintf("%016x", lastRequestID.Add(1))
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.settings.Callers+path, strings.NewReader(body))
 	if err != nil {
 		return id, nil, err
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -31,6 +31,8 @@
 	// empty for other requests. Resumes is the ID of the request that brought the first event
 	// of that stream, as the caller states it.
 	LastEventID, Resumes string
+	// Hop is set if another host passed the request on.
+	Hop *Hop
 	// Message holds the adapter's data for forwarding the request.
 	Message any
 }
@@ -190,3 +192,33 @@
 	// for a complete response.
 	Abort()
 }
+
+// Hop states how a request came from another host.
+type Hop struct {
+	// Version is the version of the configuration at the other host.
+	Version domain.Revision
+	// Counted says that the other host counted the request for the retry budget.
+	Counted bool
+}
+
+// HopOptions are the options of a request that is passed on to another host.
+type HopOptions struct {
+	Hop
+	// Remaining is the time remaining until the caller's deadline.
+	Remaining time.Duration
+	// LastEventID and Resumes are those of a stream that goes on.
+	LastEventID, Resumes string
+}
+
+// HopResponse is the response of another host: a complete one, which may be that host's own
+// refusal, or a stream.
+type HopResponse struct {
+	Answer *Answer
+	Stream Stream
+}
+
+// Hops passes requests on to other hosts. Errors are *CallError; EffectRejected means that the
+// other host cannot serve the request either.
+type Hops interface {
+	Pass(ctx context.Context, host domain.HostID, req *Request, opts HopOptions) (HopResponse, error)
+}
