reach, dispatch: tests of the detection of cuts and of requests that are passed on

A stream that broke while its host was cut off asked its engine once more over the cut link; it goes to another host now. A request that may have run spends a retry before it is passed on.

--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -125,6 +125,9 @@
 	if refusal := g.versionGone(n.inFlight); refusal != nil {
 		return refusal.WithRan(n.ran())
 	}
+	if g.isCutOff(n.inFlight) {
+		return cutOffRefusal(n.service).WithRan(n.ran())
+	}
 	end, refusal := g.beginAttempt(ctx, n.inFlight)
 	if refusal != nil {
 		return refusal.WithRan(n.ran())
--- a/dispatch/hop.go
+++ b/dispatch/hop.go
@@ -69,11 +69,11 @@
 // had sent it there. It returns nil if the caller has an answer or was disconnected, and the
 // reason otherwise. A request makes one hop at most.
 func (g *Gate) passOn(ctx context.Context, h *hop) *domain.Refusal {
-	if h.req.Hop != nil {
-		return cutOffRefusal(h.service)
-	}
 	h.opts.Version = h.configVersion
 	for try := range maxHopTries {
+		if h.req.Hop != nil || !g.mayPass(h) {
+			break
+		}
 		helpers := g.cfg.Reach.Helpers(ctx, h.service)
 		if len(helpers) == 0 {
 			break
@@ -85,11 +85,8 @@
 		if err == nil || ctx.Err() != nil {
 			break
 		}
-		if err.Effect == traffic.EffectUnknown {
-			h.mayHaveRun = true
-			if h.headSent || !h.route.Repeatable() || !g.cfg.Budget.TakeRetry(h.service, time.Now()) {
-				break
-			}
+		if h.mayHaveRun = h.mayHaveRun || err.Effect == traffic.EffectUnknown; h.headSent {
+			break
 		}
 		if !pause.For(ctx, hopRetryDelay) {
 			break
@@ -107,6 +104,12 @@
 	}
 }
 
+// mayPass reports whether a request that may have run already may be sent once more. It spends
+// a retry of the budget then.
+func (g *Gate) mayPass(h *hop) bool {
+	return !h.mayHaveRun || h.route.Repeatable() && g.cfg.Budget.TakeRetry(h.service, time.Now())
+}
+
 // passTo passes the request on to one host. done means that the caller has all that it will
 // get.
 func (g *Gate) passTo(ctx context.Context, h *hop, host domain.HostID, more bool) (done bool, failure *traffic.CallError) {
--- a/platformentry/cut_test.go
+++ b/platformentry/cut_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"greengagespoke/domain"
 	"greengagespoke/internal/knownred"
 	"greengagespoke/platform/platformtest"
 	"greengagespoke/platform/wire"
@@ -192,6 +193,9 @@
 	if ran := c.d.executions(got.id); once && (ran > 1 || got.status == http.StatusServiceUnavailable && ran > 0) && len(c.untrue) < 5 {
 		c.untrue = append(c.untrue, fmt.Sprintf("%s after %s: status %d, ran %d times", got.id, at, got.status, ran))
 	}
+	if strings.Contains(got.body, string(domain.RefusalQuarantined)) && len(c.untrue) < 5 {
+		c.untrue = append(c.untrue, fmt.Sprintf("%s after %s: refused as if it crashed upstreams", got.id, at))
+	}
 	if at > cutLength+contactTime {
 		c.healed.count(got)
 		return
