--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -135,8 +135,9 @@
 		return
 	}
 	if g.isCutOff(f) {
-		if refusal := g.passOn(ctx, &hop{inFlight: f, caller: caller}); refusal != nil {
-			g.refuse(req, caller, refusal)
+		h := &hop{inFlight: f, caller: caller}
+		if refusal := g.passOn(ctx, h); refusal != nil {
+			g.end(f, caller, h.headSent, refusal)
 		}
 		return
 	}
@@ -175,6 +176,18 @@
 	}
 }
 
+// end ends a request that is not answered: by a refusal, or by breaking off the stream whose
+// head the caller has.
+func (g *Gate) end(f *inFlight, caller traffic.Caller, headSent bool, refusal *domain.Refusal) {
+	if !headSent {
+		g.refuse(f.req, caller, refusal)
+		return
+	}
+	g.metrics.streamsBroken.Add(1)
+	klog.InfoS("stream broken off", "request", f.req.ID, "reason", refusal.Kind, "message", refusal.Message)
+	caller.Abort()
+}
+
 // refuse counts and logs a refusal and sends it to the caller.
 func (g *Gate) refuse(req *traffic.Request, caller traffic.Caller, refusal *domain.Refusal) {
 	g.metrics.refused.Add(1)
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -76,13 +76,7 @@
 				return
 			}
 		}
-		if n.headSent {
-			g.metrics.streamsBroken.Add(1)
-			klog.InfoS("stream broken off", "request", f.req.ID, "events", n.eventsSent, "reason", refusal.Kind, "message", refusal.Message)
-			caller.Abort()
-			return
-		}
-		g.refuse(f.req, caller, refusal)
+		g.end(f, caller, n.headSent, refusal)
 		return
 	}
 }
--- a/dispatch/hop.go
+++ b/dispatch/hop.go
@@ -85,7 +85,7 @@
 		if err == nil || ctx.Err() != nil {
 			break
 		}
-		if h.mayHaveRun = h.mayHaveRun || err.Effect == traffic.EffectUnknown; h.headSent {
+		if h.mayHaveRun = h.mayHaveRun || err.Effect == traffic.EffectUnknown; h.headSent && !h.route.Resumable {
 			break
 		}
 		if !pause.For(ctx, hopRetryDelay) {
@@ -164,6 +164,17 @@
 			g.metrics.disconnected.Add(1)
 			return true, nil
 		}
+		if event.ID != "" {
+			h.goOnAfter(event.ID)
+		}
+	}
+}
+
+// goOnAfter lets the next host go on after an event of the stream.
+func (h *hop) goOnAfter(eventID string) {
+	h.opts.LastEventID, h.opts.Resumes = eventID, h.req.ID
+	if h.req.LastEventID != "" {
+		h.opts.Resumes = cmp.Or(h.req.Resumes, h.req.ID)
 	}
 }
 
@@ -172,7 +183,7 @@
 	h := &hop{inFlight: n.inFlight, caller: n.caller, headSent: n.headSent, mayHaveRun: n.mayHaveRun}
 	h.opts.Counted = true
 	if n.lastEventID != "" {
-		h.opts.LastEventID, h.opts.Resumes = n.lastEventID, cmp.Or(n.req.Resumes, n.req.ID)
+		h.goOnAfter(n.lastEventID)
 	}
 	refusal := g.passOn(ctx, h)
 	n.headSent = h.headSent
--- a/dispatch/hop_test.go
+++ b/dispatch/hop_test.go
@@ -168,6 +168,31 @@
 	})
 }
 
+// A stream goes on at a third host if the second one is lost, after the last event of that one.
+func TestStreamOutlivesTheHostThatItWasPassedTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFixture(t, 1)
+		hops := &fakeHops{pass: func(n int) (traffic.HopResponse, error) {
+			if n == 1 {
+				return traffic.HopResponse{Stream: newFakeStream(2, errHopLost)}, nil
+			}
+			return traffic.HopResponse{Stream: &fakeStream{next: 3, last: 4}}, nil
+		}}
+		cutOff(ctx, f, hops)
+		caller := f.serve("/resume/", &fakeCaller{})
+		if !slices.Equal(caller.events, []string{"1", "2", "3", "4"}) || caller.aborted || hops.passed[1].LastEventID != "2" {
+			t.Errorf("events %v, aborted %v, passed on with %+v", caller.events, caller.aborted, hops.passed)
+		}
+		hops.passed = nil
+		caller = f.serve("/draft/", &fakeCaller{})
+		if !caller.aborted || caller.refusal != nil || len(caller.events) != 2 {
+			t.Errorf("a stream that cannot be resumed: events %v, aborted %v", caller.events, caller.aborted)
+		}
+	})
+}
+
 // A request that is passed on counts once for the retry budget.
 func TestPassedOnRequestIsCountedOnce(t *testing.T) {
 	for _, counted := range []bool{false, true} {
