origins: ask up to eight hosts for the origin of a stream

After many hosts were killed at once, a holder may be any of the few that are left, and callers that name no first request were looked for at two hosts only.

--- a/origins/origins.go
+++ b/origins/origins.go
@@ -30,11 +30,11 @@
 	fingerprintCopies = 1
 	// spareHolders is the number of hosts that are tried in place of those that do not answer.
 	spareHolders = 2
-	// requestAsked and fingerprintAsked are the numbers of hosts that are asked at once. They
-	// are larger than the numbers of copies, as the host that sent the origin chose among the
-	// others only.
-	requestAsked     = 3
-	fingerprintAsked = 2
+	// hostsAsked is the number of hosts that are asked at once, requestAsked of them chosen by
+	// the identifier if there is one. They are more than the copies, as hosts may be lost and
+	// others have taken their place.
+	hostsAsked   = 8
+	requestAsked = 4
 	// sendTimeout bounds one message with an origin, askTimeout the questions for one.
 	sendTimeout = 300 * time.Millisecond
 	askTimeout  = 150 * time.Millisecond
@@ -261,7 +261,7 @@
 		hosts = appendNew(hosts, requestAsked, o.others(rendezvous.Spread(members, xxhash.Sum64String(query.Request))))
 	}
 	if query.Fingerprint != 0 {
-		hosts = appendNew(hosts, len(hosts)+fingerprintAsked, o.others(rendezvous.Spread(members, query.Fingerprint)))
+		hosts = appendNew(hosts, hostsAsked, o.others(rendezvous.Spread(members, query.Fingerprint)))
 	}
 	return hosts
 }
