dispatch: a request that reaches only upstreams at their rate limits goes to another host

Upstreams that are out of rotation are tried if all healthy ones have limits; if none is reached, another host serves the request. A host that is asked to and does not reach them either declines.

--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -43,7 +43,7 @@
 }
 
 // candidates returns the healthy upstreams of a service for which eligible returns
-// true. If none of them is healthy, it returns the unhealthy ones.
+// true. If all of them have rate limits, or there are none, it also returns the unhealthy ones.
 func (g *Gate) candidates(service traffic.ServiceName, now time.Time, eligible func(*traffic.Upstream) bool) []candidate {
 	var healthy, unhealthy []candidate
 	for _, up := range g.cfg.Catalog.Ready(service) {
@@ -57,10 +57,10 @@
 			healthy = append(healthy, c)
 		}
 	}
-	if len(healthy) == 0 {
-		return unhealthy
+	if slices.ContainsFunc(healthy, func(c candidate) bool { _, limited := g.cfg.RateLimits.Rate(c.up); return !limited }) {
+		return healthy
 	}
-	return healthy
+	return append(healthy, unhealthy...)
 }
 
 // cost estimates the time lost by choosing the candidate.
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -53,6 +53,9 @@
 	// output, that must stay free on an engine where a request gets a slot. It is for
 	// requests that outgrow their estimates: a preempted request is prefilled again.
 	growthHeadroomFactor = 0.8
+	// maxUnreachedTries is the number of tries in a row without reaching an engine after which
+	// another host is to serve the request.
+	maxUnreachedTries = 2
 	// outputHeadroomTokens is added to the estimated output.
 	outputHeadroomTokens = 64
 	// outputHintFactor scales the caller's estimate of the output length.
@@ -150,6 +153,7 @@
 	giveUp := f.slotNeededSince.Add(maxWaitTargets * target)
 	q.enqueue(w)
 	defer q.remove(w)
+	unreached := 0
 	for {
 		if refusal := p.gate.quarantined(f); refusal != nil {
 			return nil, refusal
@@ -162,13 +166,18 @@
 		}
 		now := time.Now()
 		if q.isFirst(w, now) {
-			r, limited := p.tryReserve(ctx, f, q, now, now.After(w.onTimeUntil))
+			r, result := p.tryReserve(ctx, f, q, now, now.After(w.onTimeUntil))
 			if r != nil {
 				return r, nil
 			}
-			if limited {
+			if result == tryLimited {
 				return nil, p.gate.rateLimitedRefusal(f)
 			}
+			if result != tryUnreached {
+				unreached = 0
+			} else if unreached++; unreached >= maxUnreachedTries {
+				return nil, cutOffRefusal(f.service)
+			}
 		}
 		if now.After(giveUp) {
 			return nil, p.overloadedRefusal(f, q)
@@ -265,9 +274,21 @@
 	return ok && tokens >= mark.tokens && now.Before(mark.until)
 }
 
+// tryResult says why a try reserved no slot.
+type tryResult int
+
+const (
+	// tryFull means that engines have no slot now.
+	tryFull tryResult = iota
+	// tryLimited means that only rate limits keep the request from all engines.
+	tryLimited
+	// tryUnreached means that none of the engines that were asked was reached.
+	tryUnreached
+)
+
 // tryReserve asks a few engines for a slot, the cheapest first. It returns nil if
-// none grants it. limited reports that only rate limits keep the request from all engines.
-func (p *slotReserver) tryReserve(ctx context.Context, f *inFlight, q *slotQueue, now time.Time, late bool) (r *traffic.Reservation, limited bool) {
+// none grants it.
+func (p *slotReserver) tryReserve(ctx context.Context, f *inFlight, q *slotQueue, now time.Time, late bool) (*traffic.Reservation, tryResult) {
 	g := p.gate
 	needed := estimateTokens(f.req)
 	headroom := int(growthHeadroomFactor * float64(f.req.MaxOutput))
@@ -288,10 +309,17 @@
 		return true
 	})
 	ttl := min(reservationTTL, f.engine.ReservationTTL)
+	failure := tryUnreached
+	if full || len(remaining) == 0 {
+		failure = tryFull
+	}
 	for range min(maxEnginesPerTry, len(remaining)) {
 		up, limited := g.takeCheapest(ctx, remaining)
+		if up == nil && limited && !full {
+			return nil, tryLimited
+		}
 		if up == nil {
-			return nil, limited && !full
+			return nil, failure
 		}
 		remaining = slices.DeleteFunc(remaining, func(c candidate) bool { return c.up == up })
 		ask := tokens
@@ -306,16 +334,19 @@
 			r, err = g.reserve(ctx, f, up, needed, ttl)
 		}
 		if err == nil {
-			return r, false
+			return r, tryFull
+		}
+		if call := asCallError(err); call.Effect != traffic.EffectNotSent || call.Misdirected {
+			failure = tryFull
+			q.markFull(up.ID, tokens, time.Now())
 		}
 		full = true
 		g.cfg.RateLimits.GiveBack(up)
-		q.markFull(up.ID, tokens, time.Now())
 		if ctx.Err() != nil {
-			return nil, false
+			return nil, tryFull
 		}
 	}
-	return nil, false
+	return nil, failure
 }
 
 // reserve asks one engine for a slot.
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -74,7 +74,11 @@
 		caller.Answer(c.answer)
 		return
 	}
-	if g.mayPassOn(c) {
+	if c.isUnreached() && f.req.Hop != nil {
+		g.refuse(f.req, caller, cutOffRefusal(f.service))
+		return
+	}
+	if c.isUnreached() {
 		h := &hop{inFlight: f, caller: caller}
 		h.opts.Counted = true
 		if refusal := g.passOn(ctx, h); refusal == nil {
@@ -87,10 +91,10 @@
 	g.refuse(f.req, caller, g.plainRefusal(c))
 }
 
-// mayPassOn reports whether another host may serve a call: none of the upstreams that were
-// asked has been reached.
-func (g *Gate) mayPassOn(c *plainCall) bool {
-	return c.delivered == 0 && !c.mayHaveRun && c.notBegun == nil && !c.rateLimited && c.lastErr != nil && c.req.Hop == nil
+// isUnreached reports whether none of the upstreams that were tried has been reached, so that
+// another host may serve the call.
+func (c *plainCall) isUnreached() bool {
+	return c.delivered == 0 && !c.mayHaveRun && c.notBegun == nil && c.lastErr != nil
 }
 
 // nextUpstream returns the upstream of the next attempt, or nil if there is none or
