--- a/platformentry/cut_test.go
+++ b/platformentry/cut_test.go
@@ -80,6 +80,34 @@
 func (c *cutTrial) play(t *testing.T) {
 	t.Helper()
 	c.t, c.links = t, make(map[*host]*platformtest.HostLinks)
+	c.start()
+	over := func() bool { return c.since(time.Now()) > cutLength+contactTime+afterCut }
+	var callers sync.WaitGroup
+	for i, h := range c.d.hosts {
+		for range cutCallers {
+			callers.Go(func() { c.send(h, i < c.cut, over) })
+		}
+	}
+	time.Sleep(beforeCut)
+	c.begin()
+	began := time.Now()
+	c.mu.Lock()
+	c.began = began
+	c.mu.Unlock()
+	time.Sleep(cutLength / 2)
+	if c.oneByOne {
+		c.heal("dec-0", "pre-0", "led-0")
+	}
+	time.Sleep(time.Until(began.Add(cutLength)))
+	c.heal()
+	callers.Wait()
+	c.report()
+}
+
+// start starts the store, the workers and the hosts with their links.
+func (c *cutTrial) start() {
+	c.t.Helper()
+	t := c.t
 	c.d = &deployment{t: t, store: platformtest.NewStore(), workers: make(map[string]*platformtest.Worker)}
 	t.Cleanup(c.d.store.Close)
 	c.d.configure(1, "ledger")
@@ -111,27 +139,6 @@
 		})
 	}
 	c.d.waitForMembers()
-	over := func() bool { return c.since(time.Now()) > cutLength+contactTime+afterCut }
-	var callers sync.WaitGroup
-	for i, h := range c.d.hosts {
-		for range cutCallers {
-			callers.Go(func() { c.send(h, i < c.cut, over) })
-		}
-	}
-	time.Sleep(beforeCut)
-	c.begin()
-	began := time.Now()
-	c.mu.Lock()
-	c.began = began
-	c.mu.Unlock()
-	time.Sleep(cutLength / 2)
-	if c.oneByOne {
-		c.heal("dec-0", "pre-0", "led-0")
-	}
-	time.Sleep(time.Until(began.Add(cutLength)))
-	c.heal()
-	callers.Wait()
-	c.report()
 }
 
 // since returns the time since the hosts were cut, negative before.
