soak: engines of two versions, hosts cut from upstreams

Engines of two versions serve side by side and are replaced in place; callers take up streams that break or that they break off, and no stream may hold events of both versions. Hosts lose their links to all or some upstreams at any time; at the end some are cut without any other fault, and must answer two thirds as often as the others. Upstream processes are named without their address, as hosts may reach them at different ones.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -24,6 +26,11 @@
 	callerWait = 6 * time.Second
 	// streamEvents is the number of events of a whole stream.
 	streamEvents = 12
+	// maxTakeUps is how often a caller takes a stream up, eventsBeforeBreak the number of events
+	// after which it breaks some off, each of linesPerEvent lines.
+	maxTakeUps        = 3
+	eventsBeforeBreak = 4
+	linesPerEvent     = 3
 )
 
 // caller sends requests to random hosts over kept connections until the context
@@ -45,70 +52,139 @@
 // soundParts are the shared parts of prompts of requests that crash no worker.
 var soundParts = []string{"aa", "aa,p1", "aa,p3", "aa,p1,p4,p2"}
 
-// request sends one request with these shared parts of a prompt, and checks its answer.
+// request sends one request with these shared parts of a prompt, and checks its answer. A
+// stream that breaks, or that the caller breaks off, is taken up at other hosts.
 func (r *run) request(client *http.Client, h *host, k kind, id, parts string) {
-	calm := r.calm()
+	t := r.try(client, h, k, try{id: id, first: id, parts: parts, versions: make(map[string]bool)})
+	for n := range maxTakeUps {
+		if k != kindNote || t.last == 0 || t.last == streamEvents {
+			break
+		}
+		next := r.hosts[(t.last+n+len(id))%len(r.hosts)]
+		if next == h {
+			next = r.hosts[(t.last+n+len(id)+1)%len(r.hosts)]
+		}
+		t.id = fmt.Sprintf("%x%s", n+10, id[1:])
+		t = r.try(client, next, k, t)
+	}
+	if len(t.versions) > 1 {
+		r.ledger.find("stream %s holds events of two software versions, last from %s", id, h.name)
+	}
+}
+
+// try is one try of a request.
+type try struct {
+	// id is that of this try, first that of the one that brought the first event.
+	id, first, parts string
+	// last is the last event that the caller has, versions are those of all events so far.
+	last     int
+	versions map[string]bool
+}
+
+// try sends one try of a request and returns what the caller has then.
+func (r *run) try(client *http.Client, h *host, k kind, t try) try {
+	calm, id := r.calm(), t.id
 	lifeBefore, _ := h.calm()
 	version := r.seen(h, lifeBefore)
-	req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+kindPaths[k], strings.NewReader("body of "+id)) //nolint:noctx // The client has a timeout.
+	req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+kindPaths[k], strings.NewReader("body of "+t.first)) //nolint:noctx // The client has a timeout.
 	if err != nil {
 		r.ledger.find("request %s could not be made: %v", id, err)
-		return
+		return t
 	}
 	req.Host = hostName
 	req.Header.Set(wire.HeaderRequestID, id)
 	req.Header.Set(wire.HeaderDeadline, strconv.FormatInt(callerWait.Milliseconds(), 10))
 	req.Header.Set(wire.HeaderTokenCount, "1000,300")
-	req.Header.Set(wire.HeaderPromptParts, promptParts(parts, id))
+	req.Header.Set(wire.HeaderPromptParts, promptParts(t.parts, t.first))
+	if t.last > 0 {
+		req.Header.Set(wire.HeaderResumes, t.first)
+		req.Header.Set(wire.HeaderLastEventID, strconv.Itoa(t.last))
+	}
+	sentAt := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
 		r.ledger.add(sent{id: id, kind: k, host: h.name})
-		return
+		r.cut.count(h, sentAt, false)
+		return t
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
+	body, err := readAnswer(resp.Body, k == kindNote && t.last == 0 && strings.HasSuffix(id, "0"))
 	s := sent{id: id, kind: k, host: h.name, status: resp.StatusCode}
 	s.promised = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	r.ledger.add(s)
-	if calm && strings.Contains(string(body), string(domain.RefusalQuarantined)) {
-		r.ledger.find("request %s with the parts %s was refused by %s as if it crashed workers", id, parts, h.name)
+	if t.last == 0 {
+		r.cut.count(h, sentAt, resp.StatusCode == http.StatusOK)
 	}
-	if calm && strings.Contains(string(body), "rate limits") {
+	if calm && strings.Contains(body, string(domain.RefusalQuarantined)) {
+		r.ledger.find("request %s with the parts %s was refused by %s as if it crashed workers", id, t.parts, h.name)
+	}
+	if calm && t.last == 0 && !r.cut.begun(h, sentAt) && strings.Contains(body, "rate limits") {
 		r.ledger.find("request %s (%s) was refused by %s for rate limits though other workers have none", id, kindPaths[k], h.name)
 	}
-	if err != nil || resp.StatusCode != http.StatusOK {
-		return
+	if resp.StatusCode != http.StatusOK {
+		return t
+	}
+	if k == kindDraft || k == kindNote {
+		return r.checkStream(h, t, resp.Header, body, err == nil)
+	}
+	if err == nil {
+		r.checkAnswer(h, id, resp.Header, body)
 	}
-	r.checkAnswer(h, k, id, resp.Header, string(body))
-	if lifeAfter, _ := h.calm(); k == kindStatus && lifeAfter == lifeBefore {
-		r.checkVersion(h, lifeBefore, version, string(body))
+	if lifeAfter, _ := h.calm(); err == nil && k == kindStatus && lifeAfter == lifeBefore {
+		r.checkVersion(h, lifeBefore, version, body)
 	}
+	return t
 }
 
-// checkAnswer checks that a success is whole, sealed and the request's own.
-func (r *run) checkAnswer(h *host, k kind, id string, header http.Header, body string) {
+// errBrokenOff means that the caller broke a stream off.
+var errBrokenOff = errors.New("the caller broke the stream off")
+
+// readAnswer reads a body, or only the first events of a stream.
+func readAnswer(body io.Reader, breakOff bool) (string, error) {
+	if !breakOff {
+		text, err := io.ReadAll(body)
+		return string(text), err
+	}
+	var text strings.Builder
+	lines := bufio.NewScanner(body)
+	for n := 0; n < eventsBeforeBreak*linesPerEvent && lines.Scan(); n++ {
+		text.WriteString(lines.Text() + "\n")
+	}
+	return text.String(), errBrokenOff
+}
+
+// checkAnswer checks that a plain success is whole, sealed and the request's own.
+func (r *run) checkAnswer(h *host, id string, header http.Header, body string) {
 	if header.Get(wire.HeaderSeal) == "" {
 		r.ledger.find("request %s got a success from %s without the mark of an upstream", id, h.name)
 	}
-	if k == kindFiling || k == kindStatus {
-		if !strings.HasSuffix(body, " to "+id) {
-			r.ledger.find("request %s got %q from %s", id, body, h.name)
-		}
-		return
+	if !strings.HasSuffix(body, " to "+id) {
+		r.ledger.find("request %s got %q from %s", id, body, h.name)
+	}
+}
+
+// checkStream checks that a stream is sealed and in order, and whole if it looks so. It returns
+// what the caller has then.
+func (r *run) checkStream(h *host, t try, header http.Header, body string, whole bool) try {
+	if header.Get(wire.HeaderSeal) == "" {
+		r.ledger.find("request %s got a success from %s without the mark of an upstream", t.id, h.name)
 	}
-	next := 1
 	for lines := bufio.NewScanner(strings.NewReader(body)); lines.Scan(); {
-		event, ok := strings.CutPrefix(lines.Text(), "id: ")
-		if !ok {
-			continue
+		if event, ok := strings.CutPrefix(lines.Text(), "id: "); ok && event != strconv.Itoa(t.last+1) {
+			r.ledger.find("request %s got event %s where %d was due, from %s", t.id, event, t.last+1, h.name)
+			return t
+		}
+		var data struct {
+			Token   int    `json:"token"`
+			Version string `json:"version"`
 		}
-		if event != strconv.Itoa(next) {
-			r.ledger.find("request %s got event %s where %d was due, from %s", id, event, next, h.name)
-			return
+		if text, ok := strings.CutPrefix(lines.Text(), "data: "); ok && json.Unmarshal([]byte(text), &data) == nil {
+			t.last = data.Token
+			t.versions[data.Version] = true
 		}
-		next++
 	}
-	if next != streamEvents+1 {
-		r.ledger.find("request %s got %d events in an answer that looks whole, from %s", id, next-1, h.name)
+	if whole && t.last != streamEvents {
+		r.ledger.find("request %s got events up to %d in an answer that looks whole, from %s", t.id, t.last, h.name)
 	}
+	return t
 }
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -150,13 +150,21 @@
 func (r *run) addWorker(w *platformtest.Worker) {
 	w.SetStream(streamEvents, 15*time.Millisecond)
 	w.SetCrashOn(r.crashOn)
-	w.OnCrash(func() { time.AfterFunc(restartDelay, func() { r.restartWorker(w) }) })
+	w.OnCrash(func() { r.workerEnded(w) })
 	w.Register(r.store, "ready")
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.workers = append(r.workers, w)
 }
 
+// workerEnded lets the next process of a worker start a while after this one.
+func (r *run) workerEnded(w *platformtest.Worker) {
+	for _, h := range r.hosts {
+		h.workers.SetDown(w.Address(), true)
+	}
+	time.AfterFunc(restartDelay, func() { r.restartWorker(w) })
+}
+
 // restartWorker starts the next process of a crashed worker.
 func (r *run) restartWorker(w *platformtest.Worker) {
 	r.mu.Lock()
@@ -169,7 +177,10 @@
 		r.ledger.find("worker %s not restarted: %v", w.ID, err)
 		return
 	}
-	next.OnCrash(func() { time.AfterFunc(restartDelay, func() { r.restartWorker(next) }) })
+	next.OnCrash(func() { r.workerEnded(next) })
+	for _, h := range r.hosts {
+		h.workers.SetDown(next.Address(), false)
+	}
 	for i, known := range r.workers {
 		if known == w {
 			r.workers[i] = next
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -23,6 +23,7 @@
 	kinds := []func(time.Duration){
 		r.killHost, r.pauseHost, r.stopHost, r.hangUp, r.breakLink, r.breakLink,
 		r.breakStore, r.forget, r.change, r.change, r.breakWorker, r.breakWorker, r.drainWorker, r.limitWorker, r.restoreStore,
+		r.cutHost, r.cutHost, r.replaceWorker,
 	}
 	for end := time.Now().Add(r.options.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(time.Duration(r.draw.Int64N(int64(2 * faultGap))))
@@ -118,6 +119,36 @@
 	time.AfterFunc(length, func() { w.SetFault(nil) })
 }
 
+// cutHost cuts a host from all workers, or from some of them.
+func (r *run) cutHost(length time.Duration) {
+	h := r.anyHost()
+	mode := platformtest.LinkMode(1 + r.draw.IntN(int(platformtest.LinkOneWay)))
+	all, odd := r.draw.IntN(2) == 0, 0
+	h.workers.SetSome(mode, func(string) bool { odd++; return all || odd%2 == 0 })
+	time.AfterFunc(2*length, func() { h.workers.Set(platformtest.LinkOpen) })
+}
+
+// replaceWorker ends a decode worker, which starts again as another version under its
+// identifier and address.
+func (r *run) replaceWorker(time.Duration) {
+	var engines []*platformtest.Worker
+	for _, w := range r.currentWorkers() {
+		if w.Stage == "decode" {
+			engines = append(engines, w)
+		}
+	}
+	w := engines[r.draw.IntN(len(engines))]
+	w.End(otherVersion(w.Version))
+}
+
+// otherVersion returns the other one of the two software versions of a run.
+func otherVersion(version string) string {
+	if version == "v1" {
+		return "v2"
+	}
+	return "v1"
+}
+
 func (r *run) drainWorker(length time.Duration) {
 	workers := r.currentWorkers()
 	id := workers[r.draw.IntN(len(workers))].ID
--- a/soak/limits.go
+++ b/soak/limits.go
@@ -84,7 +84,7 @@
 func (r *run) toldLater(worker string, rate float64, from time.Time) int {
 	n := 0
 	for _, h := range r.hosts {
-		at, told := h.firstLogged(r.limits.since, fmt.Sprintf("process=\"%s@", worker), fmt.Sprintf(" rate=%v ", rate))
+		at, told := h.firstLogged(r.limits.since, fmt.Sprintf("process=\"%s/", worker), fmt.Sprintf(" rate=%v ", rate))
 		if told && !at.Before(from) {
 			n++
 		}
--- a/soak/process.go
+++ b/soak/process.go
@@ -24,9 +24,11 @@
 	name, zone string
 	binary     string
 	dir        string
-	link       *proxy
-	callers    string
-	ready      string
+	// link leads to the host's view of the store, workers to the workers.
+	link    *proxy
+	workers *platformtest.HostLinks
+	callers string
+	ready   string
 
 	mu      sync.Mutex
 	command *exec.Cmd
--- a/soak/run.go
+++ b/soak/run.go
@@ -69,6 +69,7 @@
 	crashingRequest, crashingPart *crasher
 
 	limits limits
+	cut    cut
 	// healed is when the last fault ended, in Unix nanoseconds, or 0.
 	healed atomic.Int64
 
@@ -108,12 +109,14 @@
 	r.stateLimits()
 	time.Sleep(settle)
 	r.checkMemory()
+	r.cutHosts()
 	stop()
 	callers.Wait()
 	r.stopAll()
 	r.ledger.check(r.runsOf)
 	r.checkCrashes(lastFault)
 	r.checkLimits()
+	r.checkCut()
 	byRequest, _ := r.crashingRequest.count(lastFault)
 	byPart, _ := r.crashingPart.count(lastFault)
 	return Report{
@@ -140,17 +143,23 @@
 		platformtest.NewWorker("dec-1", "models", "z-a", "decode"), platformtest.NewWorker("dec-2", "models", "z-b", "decode"),
 		platformtest.NewWorker("dec-3", "models", "z-a", "decode"), platformtest.NewWorker("dec-4", "models", "z-b", "decode"),
 	} {
+		if w.ID == "dec-3" || w.ID == "dec-4" {
+			w.Version = otherVersion(w.Version)
+		}
 		r.addWorker(w)
 	}
 	for i := range r.options.Hosts {
-		link, err := newProxy(ctx, r.store.Address())
+		workers := platformtest.NewHostLinks(r.store)
+		link, err := newProxy(ctx, workers.StoreAddress())
 		if err != nil {
+			workers.Close()
 			return err
 		}
 		h, err := newHost(r.options.Binary, r.options.Dir, fmt.Sprintf("host-%d", i+1), []string{"z-a", "z-b"}[i%2], link)
 		if err != nil {
 			return err
 		}
+		h.workers = workers
 		if err := h.start(); err != nil {
 			return err
 		}
@@ -237,6 +246,7 @@
 		h.signal(syscall.SIGCONT)
 		h.signal(syscall.SIGKILL)
 		h.link.close()
+		h.workers.Close()
 	}
 	r.mu.Lock()
 	r.closed = true
@@ -254,6 +264,7 @@
 	r.store.SetMode(platformtest.StoreUp)
 	for _, h := range r.hosts {
 		h.link.set(linkOpen)
+		h.workers.Set(platformtest.LinkOpen)
 		h.signal(syscall.SIGCONT)
 	}
 	for _, w := range r.currentWorkers() {
--- a/traffic/upstream.go
+++ b/traffic/upstream.go
@@ -47,8 +47,12 @@
 	return Incarnation{ID: u.ID, Address: u.Address, StartedAtMillis: u.StartedAtMillis}
 }
 
-// String returns a text that no other process of an upstream has.
+// String returns a text that no other process of an upstream has, and that is the same at hosts
+// that reach the process at different addresses.
 func (i Incarnation) String() string {
+	if i.StartedAtMillis != 0 {
+		return fmt.Sprintf("%s/%d", i.ID, i.StartedAtMillis)
+	}
 	return fmt.Sprintf("%s@%s/%d", i.ID, i.Address, i.StartedAtMillis)
 }
 
