dispatch: upstreams out of rotation are probed before requests use them again

Where a host has lost its links to some upstreams only, each of them cost a request every few seconds, which waited for a connection that did not open. A connection is tried first now.

--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -50,7 +50,11 @@
 		if !eligible(up) {
 			continue
 		}
-		c := candidate{up: up, health: g.stats.forUpstream(up).health(now), connected: g.cfg.Upstreams.Connected(up)}
+		t := g.stats.forUpstream(up)
+		c := candidate{up: up, health: t.health(now), connected: g.cfg.Upstreams.Connected(up)}
+		if c.health.unhealthy && t.beginProbe(now) {
+			go g.probe(up, t)
+		}
 		if c.health.unhealthy {
 			unhealthy = append(unhealthy, c)
 		} else {
@@ -63,6 +67,13 @@
 	return append(healthy, unhealthy...)
 }
 
+// probe finds out whether an upstream that is out of rotation is reached again, so that no
+// request has to. Listening bounds its time.
+func (g *Gate) probe(up *traffic.Upstream, t *upstreamStats) {
+	listening, err := g.cfg.Upstreams.Listening(context.Background(), up)
+	t.endProbe(err == nil && listening, time.Now())
+}
+
 // cost estimates the time lost by choosing the candidate.
 func (c candidate) cost(zone domain.Zone) time.Duration {
 	cost := c.health.meanLatency + time.Duration(c.health.activeCalls)*activeCallCost
--- a/dispatch/track.go
+++ b/dispatch/track.go
@@ -23,6 +23,8 @@
 	// of rotation. It doubles with each further connection failure.
 	minOutOfRotation = 500 * time.Millisecond
 	maxOutOfRotation = 4 * time.Second
+	// probeInterval is the time between two probes of an upstream that is out of rotation.
+	probeInterval = time.Second
 	// replacedOutOfRotation is how long an upstream is out of rotation if another
 	// process answered at its address. It is longer than the registry keeps the
 	// entry of a crashed upstream.
@@ -68,6 +70,9 @@
 	// of rotation until unhealthyUntil.
 	connectionFailures int
 	unhealthyUntil     time.Time
+	// mustProbe means that it stays so until a connection to it could be opened, which probing
+	// says is being tried.
+	mustProbe, probing bool
 
 	// crashMu is held while a request finds out whether the process has ended; crashed
 	// says that it had at crashCheckedAt.
@@ -125,7 +130,7 @@
 		return true
 	}
 	if result != outcomeConnectionFailed {
-		t.connectionFailures = 0
+		t.connectionFailures, t.mustProbe = 0, false
 		return false
 	}
 	t.connectionFailures++
@@ -133,9 +138,33 @@
 		return false
 	}
 	t.unhealthyUntil = now.Add(min(maxOutOfRotation, minOutOfRotation<<min(t.connectionFailures-unhealthyAfterFailures, 8)))
+	t.mustProbe = true
 	return true
 }
 
+// beginProbe reports whether the upstream is to be probed now. If so, endProbe must be called.
+func (t *upstreamStats) beginProbe(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.mustProbe || t.probing || now.Before(t.unhealthyUntil) {
+		return false
+	}
+	t.probing = true
+	return true
+}
+
+// endProbe records whether a connection to the upstream could be opened.
+func (t *upstreamStats) endProbe(opened bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.probing = false
+	if opened {
+		t.mustProbe = false
+		return
+	}
+	t.unhealthyUntil = now.Add(probeInterval)
+}
+
 // decay reduces the averages by the time since their last update. The caller holds
 // the lock.
 func (t *upstreamStats) decay(now time.Time) {
@@ -159,5 +188,5 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.decay(now)
-	return health{activeCalls: t.activeCalls, meanLatency: t.meanLatency, failureRate: t.failureRate, unhealthy: now.Before(t.unhealthyUntil)}
+	return health{activeCalls: t.activeCalls, meanLatency: t.meanLatency, failureRate: t.failureRate, unhealthy: t.mustProbe || now.Before(t.unhealthyUntil)}
 }
