--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -164,7 +164,7 @@
 	})
 	d.balancer = stages.New(stages.Config{
 		Self: s.Host, Services: d.modelServices, Members: d.members.Members, Loads: loads,
-		Duty: registry.NewDuty(storeClient, engineRolesDuty, s.Host, s.OrderLease), Engines: d.upstreams, Ready: d.ready,
+		Duty: registry.NewDuty(storeClient, engineRolesDuty, s.Host, s.OrderLease), Engines: d.upstreams, Ready: d.mayDirectEngines,
 	})
 	d.app = kratos.New(
 		kratos.ID(string(s.Host)), kratos.Name(appName), kratos.Server(d.newListeners(counterSet, metricsPort)...),
@@ -304,6 +304,12 @@
 // ready reports whether the host accepts new callers.
 func (d *Daemon) ready() bool { return !d.leaving.Load() && d.catalog.Config() != nil }
 
+// mayDirectEngines reports whether the host may send orders to engines. An order over a link that
+// hangs may be carried out later.
+func (d *Daemon) mayDirectEngines() bool {
+	return d.ready() && !slices.ContainsFunc(d.modelServices(), func(s stages.Service) bool { return d.reach.Lost(s.Name) })
+}
+
 // serve handles a caller's request and counts it as in flight.
 func (d *Daemon) serve(r *http.Request, req *traffic.Request, caller traffic.Caller) {
 	d.inFlight.Add(1)
