--- a/soak/faults.go
+++ b/soak/faults.go
@@ -73,8 +73,9 @@
 func (r *run) breakLink(length time.Duration) {
 	h := r.anyHost()
 	h.disturb(length + aftermath)
-	h.link.set(linkMode(1 + r.draw.IntN(4)))
-	time.AfterFunc(length, func() { h.link.set(linkOpen) })
+	modes := []platformtest.LinkMode{platformtest.LinkSlow, platformtest.LinkReset, platformtest.LinkOneWay, platformtest.LinkSilent}
+	h.link.Set(modes[r.draw.IntN(len(modes))])
+	time.AfterFunc(length, func() { h.link.Set(platformtest.LinkOpen) })
 }
 
 func (r *run) breakStore(length time.Duration) {
--- a/soak/process.go
+++ b/soak/process.go
@@ -25,7 +25,7 @@
 	binary     string
 	dir        string
 	// link leads to the host's view of the store, workers to the workers.
-	link    *proxy
+	link    *platformtest.Link
 	workers *platformtest.HostLinks
 	callers string
 	ready   string
@@ -41,7 +41,7 @@
 }
 
 // newHost writes the settings of a host. It is not started yet.
-func newHost(binary, dir, name, zone string, link *proxy) (*host, error) {
+func newHost(binary, dir, name, zone string, link *platformtest.Link) (*host, error) {
 	h := &host{name: name, zone: zone, binary: binary, dir: dir, link: link}
 	ports := make([]string, 4)
 	for i := range ports {
@@ -51,7 +51,7 @@
 		}
 	}
 	h.callers, h.ready = ports[0], ports[1]
-	text, err := json.Marshal(platformtest.SettingsFile(name, zone, ports[0], ports[1], ports[2], ports[3], link.address()))
+	text, err := json.Marshal(platformtest.SettingsFile(name, zone, ports[0], ports[1], ports[2], ports[3], link.Address()))
 	if err != nil {
 		return nil, err
 	}
--- a/soak/run.go
+++ b/soak/run.go
@@ -150,7 +150,7 @@
 	}
 	for i := range r.options.Hosts {
 		workers := platformtest.NewHostLinks(r.store)
-		link, err := newProxy(ctx, workers.StoreAddress())
+		link, err := platformtest.NewLink(workers.StoreAddress())
 		if err != nil {
 			workers.Close()
 			return err
@@ -245,7 +245,7 @@
 	for _, h := range r.hosts {
 		h.signal(syscall.SIGCONT)
 		h.signal(syscall.SIGKILL)
-		h.link.close()
+		h.link.Close()
 		h.workers.Close()
 	}
 	r.mu.Lock()
@@ -263,7 +263,7 @@
 func (r *run) heal() {
 	r.store.SetMode(platformtest.StoreUp)
 	for _, h := range r.hosts {
-		h.link.set(linkOpen)
+		h.link.Set(platformtest.LinkOpen)
 		h.workers.Set(platformtest.LinkOpen)
 		h.signal(syscall.SIGCONT)
 	}
