--- a/platformentry/cut_test.go
+++ b/platformentry/cut_test.go
@@ -1,6 +1,7 @@
 package platformentry_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -275,3 +276,50 @@
 		})
 	}
 }
+
+// The work for a caller who leaves must end also if another host has passed the request on, and
+// the other host must know the caller, the identifier, the body and the remaining time.
+func TestHopKeepsWhatTheCallerSent(t *testing.T) {
+	c := &cutTrial{t: t, hosts: 3, cut: 1, mode: platformtest.LinkReset, links: make(map[*host]*platformtest.HostLinks)}
+	c.start()
+	c.begin()
+	time.Sleep(contactTime)
+	h := c.d.hosts[0]
+	got := c.d.sendBody(h, "POST", "/filing/x?y=1", http.Header{"X-Own": {"kept"}, wire.HeaderDeadline: {"5000"}}, "the body")
+	if got.status != http.StatusOK || c.d.executions(got.id) != 1 {
+		t.Fatalf("status %d %s, ran %d times", got.status, got.body, c.d.executions(got.id))
+	}
+	for _, w := range c.d.workers {
+		header := w.Header(got.id)
+		if header == nil {
+			continue
+		}
+		if left, _ := wire.Deadline(header); header.Get("X-Own") != "kept" || w.Body(got.id) != "the body" || left > 5*time.Second || left < 4*time.Second {
+			t.Errorf("the upstream got %v with the body %q", header, w.Body(got.id))
+		}
+		if header.Get(wire.HeaderHopCaller) != "" || header.Get(wire.HeaderHopVersion) != "" {
+			t.Errorf("the upstream got headers between hosts: %v", header)
+		}
+	}
+	for _, w := range c.d.workers {
+		w.SetStream(1000, 20*time.Millisecond)
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	_, resp, err := c.d.open(ctx, h, "/draft/x", nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("no stream: %v", err)
+	}
+	if _, err := resp.Body.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	leave()
+	_ = resp.Body.Close()
+	c.d.waitFor("the work of a caller who left has ended", func() bool {
+		for _, w := range c.d.workers {
+			if w.Streaming() > 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
