reach: where nearly all hosts are cut, the few that can help are found

Others are asked until one can help, for half a second at most, and those that did before come first.

--- a/reach/reach.go
+++ b/reach/reach.go
@@ -44,11 +44,14 @@
 	// reachedTTL is how long after its last sign of an upstream a host counts as one that
 	// reaches the service.
 	reachedTTL = 1200 * time.Millisecond
-	// hostsAsked bounds the hosts that are asked for help at once, witnesses those that are asked
-	// whether an upstream has ended, and askTimeout the time to do so.
-	hostsAsked = 8
-	witnesses  = 3
-	askTimeout = 250 * time.Millisecond
+	// hostsAsked bounds the hosts that are asked for help at once, maxAskRounds how often others
+	// are asked until one can help, and helpTimeout all of that. witnesses is the number of hosts
+	// that are asked whether an upstream has ended. askTimeout bounds a round.
+	hostsAsked   = 8
+	maxAskRounds = 8
+	helpTimeout  = 500 * time.Millisecond
+	witnesses    = 3
+	askTimeout   = 250 * time.Millisecond
 	// helpersTTL is how long the hosts that reach a service are remembered.
 	helpersTTL = 600 * time.Millisecond
 )
@@ -289,7 +292,7 @@
 	helpers, at := s.helpers, s.helpersAt
 	s.mu.Unlock()
 	if time.Since(at) > helpersTTL {
-		helpers = m.askAll(context.WithoutCancel(ctx), ports.ReachQuery{Service: string(name)}, hostsAsked, func(r ports.ReachReply) bool { return r.Reached })
+		helpers = m.askForHelp(context.WithoutCancel(ctx), name, helpers)
 		s.mu.Lock()
 		s.helpers, s.helpersAt = helpers, time.Now()
 		s.mu.Unlock()
@@ -299,13 +302,41 @@
 	return helpers
 }
 
-// askAll asks hosts of all availability zones and returns those whose reply is accepted.
-func (m *Monitor) askAll(ctx context.Context, query ports.ReachQuery, most int, accept func(ports.ReachReply) bool) []domain.HostID {
+// askForHelp returns hosts that reach a service. It asks a few at a time, those that did before
+// first, until one does: if most hosts are cut, few can help.
+func (m *Monitor) askForHelp(ctx context.Context, name traffic.ServiceName, before []domain.HostID) []domain.HostID {
+	ctx, cancel := context.WithTimeout(ctx, helpTimeout)
+	defer cancel()
+	hosts := slices.Clone(before)
+	for _, host := range m.otherHosts() {
+		if !slices.Contains(hosts, host) {
+			hosts = append(hosts, host)
+		}
+	}
+	query := ports.ReachQuery{Service: string(name)}
+	for range maxAskRounds {
+		n := min(hostsAsked, len(hosts))
+		if helpers := m.ask(ctx, query, hosts[:n], func(r ports.ReachReply) bool { return r.Reached }); len(helpers) > 0 {
+			return helpers
+		}
+		hosts = hosts[n:]
+	}
+	return nil
+}
+
+// otherHosts returns the other hosts at random, those of all availability zones in turn.
+func (m *Monitor) otherHosts() []domain.HostID {
+	return slices.DeleteFunc(rendezvous.Spread(m.cfg.Members(), rand.Uint64()), func(h domain.HostID) bool { return h == m.cfg.Self })
+}
+
+// ask asks some hosts and returns those whose reply is accepted.
+func (m *Monitor) ask(ctx context.Context, query ports.ReachQuery, hosts []domain.HostID, accept func(ports.ReachReply) bool) []domain.HostID {
+	if len(hosts) == 0 {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	m.cfg.Counters.Int(defAsked).Add(1)
-	hosts := slices.DeleteFunc(rendezvous.Spread(m.cfg.Members(), rand.Uint64()), func(h domain.HostID) bool { return h == m.cfg.Self })
-	hosts = hosts[:min(most, len(hosts))]
 	accepted := make(chan domain.HostID, len(hosts))
 	var asking sync.WaitGroup
 	for _, host := range hosts {
@@ -390,7 +421,8 @@
 	query := ports.ReachQuery{Service: string(up.Service), Upstream: up.ID}
 	var mu sync.Mutex
 	refused, listens := 0, 0
-	m.askAll(context.WithoutCancel(ctx), query, witnesses, func(r ports.ReachReply) bool {
+	hosts := m.otherHosts()
+	m.ask(context.WithoutCancel(ctx), query, hosts[:min(witnesses, len(hosts))], func(r ports.ReachReply) bool {
 		mu.Lock()
 		defer mu.Unlock()
 		switch {
--- a/reach/reach_test.go
+++ b/reach/reach_test.go
@@ -209,3 +209,21 @@
 		}
 	})
 }
+
+// Where all hosts but one are cut, each of them must find the one that can help.
+func TestTheOnlyHostWithLinksIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet(ctx, 60)
+		for i := range 59 {
+			f.set(linksHang, i)
+		}
+		time.Sleep(detectionTime + 2*time.Second)
+		for i, m := range f.monitors[:59] {
+			if helpers := m.Helpers(ctx, testService); len(helpers) != 1 || helpers[0] != "h59" {
+				t.Errorf("host %d: helpers %v", i, helpers)
+			}
+		}
+	})
+}
