--- a/reach/reach.go
+++ b/reach/reach.go
@@ -405,33 +405,38 @@
 	s.mu.Unlock()
 }
 
-// Ended reports whether an upstream that refuses connections of this host has ended, as far as
-// other hosts can tell. A link that resets connections looks the same to this host alone. It
-// returns false if that is not known.
+// Ended reports whether an upstream that refuses connections of this host has ended. A link that
+// resets connections looks the same to this host alone, so others are asked. If none answers, the
+// links of this host must be sound: another upstream accepts a connection.
 func (m *Monitor) Ended(ctx context.Context, up *traffic.Upstream) bool {
-	others := 0
-	for _, member := range m.cfg.Members() {
-		if member.ID != m.cfg.Self && member.State == domain.MemberAlive {
-			others++
-		}
-	}
-	if others == 0 {
+	ctx = context.WithoutCancel(ctx)
+	hosts := m.otherHosts()
+	if len(hosts) == 0 {
 		return true
 	}
-	query := ports.ReachQuery{Service: string(up.Service), Upstream: up.ID}
 	var mu sync.Mutex
-	refused, listens := 0, 0
-	hosts := m.otherHosts()
-	m.ask(context.WithoutCancel(ctx), query, hosts[:min(witnesses, len(hosts))], func(r ports.ReachReply) bool {
+	refused, listens := false, false
+	query := ports.ReachQuery{Service: string(up.Service), Upstream: up.ID}
+	m.ask(ctx, query, hosts[:min(witnesses, len(hosts))], func(r ports.ReachReply) bool {
 		mu.Lock()
 		defer mu.Unlock()
-		switch {
-		case r.Tried && r.Listening:
-			listens++
-		case r.Tried && r.Reached:
-			refused++
-		}
+		listens = listens || r.Tried && r.Listening
+		refused = refused || r.Tried && !r.Listening && r.Reached
 		return false
 	})
-	return refused > 0 && listens == 0
+	if refused || listens {
+		return !listens
+	}
+	return m.anyListening(ctx, m.otherUpstreams(up))
+}
+
+// otherUpstreams returns a few upstreams of all services at random, without one.
+func (m *Monitor) otherUpstreams(without *traffic.Upstream) []*traffic.Upstream {
+	var ups []*traffic.Upstream
+	for _, name := range m.cfg.Services() {
+		ups = append(ups, m.cfg.Ready(name)...)
+	}
+	ups = slices.DeleteFunc(ups, func(up *traffic.Upstream) bool { return up.ID == without.ID })
+	rand.Shuffle(len(ups), func(i, j int) { ups[i], ups[j] = ups[j], ups[i] })
+	return ups[:min(triedAtOnce, len(ups))]
 }
