--- a/platformentry/crash_part_test.go
+++ b/platformentry/crash_part_test.go
@@ -242,6 +242,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			takeTrialSlot(t)
 			defer knownred.Done(t)
 			trial.play(t)
 		})
--- a/platformentry/crash_test.go
+++ b/platformentry/crash_test.go
@@ -359,6 +359,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			takeTrialSlot(t)
 			defer knownred.Done(t)
 			trial.play(t)
 		})
--- a/platformentry/rate_limit_test.go
+++ b/platformentry/rate_limit_test.go
@@ -296,6 +296,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			takeTrialSlot(t)
 			defer knownred.Done(t)
 			trial.play(t)
 		})
