quarantine, dispatch: say which request crashed an upstream, who is undecided and what a completion cleared

The log could not tell apart whether copies of one request have several fingerprints, whether a request that crashed three upstreams is undecided for its rivals, or was cleared by completing.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -11,8 +11,12 @@
 	"greengagespoke/traffic"
 )
 
-// maxLoggedParts bounds the parts of a prompt that a log line names.
-const maxLoggedParts = 8
+const (
+	// maxLoggedParts bounds the parts of a prompt that a log line names.
+	maxLoggedParts = 8
+	// maxLoggedPath bounds the path that a log line names, in bytes.
+	maxLoggedPath = 80
+)
 
 // countFailure counts a call that failed without a word of the upstream.
 func (g *Gate) countFailure(call *traffic.CallError) {
@@ -40,6 +44,7 @@
 	g.cfg.Quarantine.RecordCrash(domain.UpstreamID(up.Incarnation().String()), []uint64{f.req.Fingerprint}, f.parts...)
 	klog.InfoS("upstream crashed while it had a request", "request", f.req.ID, "fingerprint", f.req.Fingerprint,
 		"parts", f.parts[:min(len(f.parts), maxLoggedParts)], "upstreams_used", len(f.sent),
+		"target", f.req.Host, "path", f.req.Path[:min(len(f.req.Path), maxLoggedPath)],
 		"upstream", up.ID, "role", up.Role, "process", up.Incarnation().String())
 }
 
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -92,7 +92,7 @@
 		return
 	}
 	l.mustJudge = false
-	before := l.culprits
+	before, undecided := l.culprits, l.undecided()
 	l.culprits = make(map[subject]*record)
 	explained := l.resetVerdicts()
 	for {
@@ -115,6 +115,12 @@
 			klog.InfoS("request quarantined", "fingerprint", of.fingerprint, "part", of.part, "crashes", r.crashes())
 		}
 	}
+	for of := range l.undecided() {
+		if !undecided[of] {
+			l.count(defUndecided, 1)
+			klog.InfoS("request undecided", "fingerprint", of.fingerprint, "part", of.part, "rivals", len(l.records.Entries[of].rivals))
+		}
+	}
 	for of := range before {
 		if l.culprits[of] == nil {
 			klog.InfoS("request no longer quarantined", "fingerprint", of.fingerprint, "part", of.part)
@@ -122,6 +128,17 @@
 	}
 }
 
+// undecided returns the subjects at their limits that have rivals.
+func (l *List) undecided() map[subject]bool {
+	found := make(map[subject]bool)
+	for of, r := range l.records.Entries {
+		if len(r.rivals) > 0 {
+			found[of] = true
+		}
+	}
+	return found
+}
+
 // resetVerdicts drops what judge decided, and returns how many strikes were explained.
 func (l *List) resetVerdicts() int {
 	explained := 0
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -18,6 +18,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"greengagespoke/counters"
 	"greengagespoke/domain"
 	"greengagespoke/internal/bounded"
@@ -70,6 +72,8 @@
 		"strikes of other requests explained by a quarantined request")
 	defQuarantined = counters.Define("quarantine_quarantined",
 		"fingerprints quarantined because they reached the limit of strikes or crashes")
+	defUndecided = counters.Define("quarantine_undecided",
+		"fingerprints at the limit of strikes that share all of these crashes with another one")
 	defRefused = counters.Define("quarantine_refused",
 		"requests refused because their fingerprint is quarantined")
 )
@@ -303,6 +307,9 @@
 		return
 	}
 	l.count(defCleared, 1)
+	if len(r.strikes) > 1 {
+		klog.InfoS("suspect completed", "fingerprint", of.fingerprint, "part", of.part, "strikes", len(r.strikes))
+	}
 	l.mustJudge = l.mustJudge || len(r.strikes) >= l.cfg.StrikeLimit || r.crashes() > l.cfg.StrikeLimit
 	r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return !s.crashedAt.After(completedAt) })
 	if len(r.strikes) == 0 {
