--- /dev/null
+++ b/platformentry/crash_copies_test.go
@@ -0,0 +1,184 @@
+package platformentry_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"greengagespoke/internal/knownred"
+	"greengagespoke/platform/platformtest"
+)
+
+// copiesTrial sends copies of requests that crash upstreams to all hosts, again and again,
+// beside other requests.
+type copiesTrial struct {
+	crashingFleet
+	prefix    string
+	hosts     int
+	upstreams int
+	// requests is the number of different crashing requests.
+	requests int
+	// callers is the number of addresses from which copies come in turn.
+	callers int
+	// storeMode is that of the store during the trial.
+	storeMode platformtest.StoreMode
+
+	// answered and failed count the other requests that were sent later than contactTime after
+	// the third crash of each crashing request.
+	answered, failed int
+	failures         []string
+}
+
+// trialCaller returns the transport of a caller with an address of its own.
+func trialCaller(t *testing.T, n int) http.RoundTripper {
+	t.Helper()
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(n+1))}}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	t.Cleanup(transport.CloseIdleConnections)
+	return transport
+}
+
+// decidedAt returns the time of the third crash of the request that crashed three upstreams last,
+// and false while some have not.
+func (c *copiesTrial) decidedAt() (at time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.byPath) < c.requests {
+		return time.Time{}, false
+	}
+	for _, path := range c.byPath {
+		if len(path.crashes) < crashLimit {
+			return time.Time{}, false
+		}
+		if third := path.crashes[crashLimit-1]; third.After(at) {
+			at = third
+		}
+	}
+	return at, true
+}
+
+func (c *copiesTrial) over() bool {
+	at, ok := c.decidedAt()
+	return ok && time.Since(at) > contactTime+observedTime
+}
+
+func (c *copiesTrial) play(t *testing.T) {
+	t.Helper()
+	c.events, c.pause = 5, 20*time.Millisecond
+	c.crash = func(r *http.Request) platformtest.Fault {
+		if !strings.Contains(r.URL.Path, crashingPath) {
+			return platformtest.FaultNone
+		}
+		return platformtest.FaultCrash
+	}
+	c.start(t)
+	for i := range c.upstreams {
+		zone := []string{"z-a", "z-b"}[i%2]
+		c.addWorker(fmt.Sprintf("led-%d", i), "ledger", zone, "")
+		c.addWorker(fmt.Sprintf("dec-%d", i), "models", zone, "decode")
+	}
+	c.addWorker("pre-0", "models", "z-a", "prefill")
+	hosts := c.startHosts(c.hosts)
+	c.d.waitForMembers()
+	c.d.store.SetMode(c.storeMode)
+	defer c.d.store.SetMode(platformtest.StoreUp)
+	var callers sync.WaitGroup
+	for i, h := range hosts {
+		for n := range c.requests {
+			callers.Go(func() { c.sendCopies(h, i, n) })
+		}
+		callers.Go(func() { c.sendOthers(h, i) })
+	}
+	callers.Wait()
+	c.report()
+}
+
+// sendCopies sends one of the crashing requests to a host until the trial is over.
+func (c *copiesTrial) sendCopies(h *host, first, n int) {
+	path := fmt.Sprintf("%s%s-%d", c.prefix, crashingPath, n)
+	for sent := first; !c.over() && !c.t.Failed(); sent++ {
+		c.d.sendVia(trialCaller(c.t, sent%c.callers), h, "POST", path, nil, "the same body")
+		time.Sleep(resendDelay)
+	}
+}
+
+// sendOthers sends other requests until the trial is over. Every second one is the same request,
+// as of a caller that polls.
+func (c *copiesTrial) sendOthers(h *host, caller int) {
+	for n := 0; !c.over() && !c.t.Failed(); n++ {
+		path := fmt.Sprintf("%spoll-%d", c.prefix, caller)
+		if n%2 == 0 {
+			path = fmt.Sprintf("%sother-%d-%d", c.prefix, caller, n)
+		}
+		at, decided := c.decidedAt()
+		late := decided && time.Since(at) > contactTime
+		got := c.d.sendBody(h, "POST", path, nil, "")
+		if late {
+			c.count(path, got)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (c *copiesTrial) count(path string, got response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if got.status == 200 && got.err == nil {
+		c.answered++
+		return
+	}
+	c.failed++
+	c.failures = append(c.failures, fmt.Sprintf("%s: %d %s %v", path, got.status, got.body, got.err))
+}
+
+func (c *copiesTrial) report() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for path, runs := range c.byPath {
+		third := runs.crashes[crashLimit-1]
+		late := len(runs.runs) - len(slices.DeleteFunc(slices.Clone(runs.runs), func(at time.Time) bool { return at.Sub(third) > contactTime }))
+		c.t.Logf("%s: %d runs, %d late", path, len(runs.runs), late)
+		if late > maxLateRuns {
+			knownred.Errorf(c.t, "%s ran %d times later than %s after its third crash, want at most %d", path, late, contactTime, maxLateRuns)
+		}
+	}
+	c.t.Logf("other requests, late: %d answered, %d failed", c.answered, c.failed)
+	if c.failed > 0 {
+		knownred.Errorf(c.t, "%d other requests failed later than %s after the third crash: %q", c.failed, contactTime, c.failures[:min(len(c.failures), 5)])
+	}
+}
+
+// Copies of a request that crashes upstreams must not be sent to further ones once three have
+// crashed, whoever sends them, whatever else crashes, and whether or not hosts read the store.
+func TestCopiesOfCrashingRequestAreNotSentOn(t *testing.T) {
+	const slowReturn, quickReturn = 3200 * time.Millisecond, 800 * time.Millisecond
+	for name, trial := range map[string]*copiesTrial{
+		"many-callers":           {prefix: "/status/", hosts: 4, upstreams: 4, requests: 1, callers: 5, crashingFleet: crashingFleet{replacementDelay: slowReturn}},
+		"many-callers-send-once": {prefix: "/filing/", hosts: 4, upstreams: 4, requests: 1, callers: 5, crashingFleet: crashingFleet{replacementDelay: slowReturn}},
+		"many-callers-stream":    {prefix: "/draft/", hosts: 4, upstreams: 4, requests: 1, callers: 5, crashingFleet: crashingFleet{replacementDelay: slowReturn}},
+		"several-store-busy": {
+			prefix: "/filing/", hosts: 4, upstreams: 8, requests: 3, callers: 1, storeMode: platformtest.StoreBusy,
+			crashingFleet: crashingFleet{replacementDelay: quickReturn, sameAddress: true},
+		},
+		"several-store-silent": {
+			prefix: "/status/", hosts: 4, upstreams: 8, requests: 3, callers: 3, storeMode: platformtest.StoreSilent,
+			crashingFleet: crashingFleet{replacementDelay: quickReturn, sameAddress: true},
+		},
+		"half-of-upstreams": {prefix: "/filing/", hosts: 4, upstreams: 8, requests: 1, callers: 1, crashingFleet: crashingFleet{
+			replacementDelay: quickReturn, sameAddress: true,
+			runsWell: func(w *platformtest.Worker) bool { return (w.ID[len(w.ID)-1]-'0')%2 == 0 },
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			takeTrialSlot(t)
+			defer knownred.Done(t)
+			trial.play(t)
+		})
+	}
+}
--- a/platformentry/crash_test.go
+++ b/platformentry/crash_test.go
@@ -42,6 +42,8 @@
 	d *deployment
 	// crash returns the fault of a request that crashes the upstream, or FaultNone.
 	crash func(r *http.Request) platformtest.Fault
+	// runsWell selects the workers that run such a request well. It may be nil.
+	runsWell func(w *platformtest.Worker) bool
 	// sameAddress restarts a crashed process with its identifier and address. Otherwise a
 	// process with others replaces it.
 	sameAddress bool
@@ -59,6 +61,15 @@
 	runs    []time.Time
 	crashes []time.Time
 	crashed map[*platformtest.Worker]bool
+	// byPath holds the runs of each crashing request.
+	byPath map[string]*pathRuns
+}
+
+// pathRuns holds the time of each run of the requests with one path, and of their first run on
+// each process that they crashed.
+type pathRuns struct {
+	runs, crashes []time.Time
+	crashed       map[*platformtest.Worker]bool
 }
 
 // crashTrial sends one request to each host again and again. It crashes each upstream
@@ -95,6 +106,19 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	path := c.byPath[r.URL.Path]
+	if path == nil {
+		path = &pathRuns{crashed: make(map[*platformtest.Worker]bool)}
+		c.byPath[r.URL.Path] = path
+	}
+	path.runs = append(path.runs, time.Now())
+	if c.runsWell != nil && c.runsWell(w) {
+		return platformtest.FaultNone
+	}
+	if !path.crashed[w] {
+		path.crashed[w] = true
+		path.crashes = append(path.crashes, time.Now())
+	}
 	c.runs = append(c.runs, time.Now())
 	if !c.crashed[w] {
 		c.crashed[w] = true
@@ -138,7 +162,7 @@
 // start starts the store and publishes the configuration.
 func (c *crashingFleet) start(t *testing.T) {
 	t.Helper()
-	c.t, c.crashed = t, make(map[*platformtest.Worker]bool)
+	c.t, c.crashed, c.byPath = t, make(map[*platformtest.Worker]bool), make(map[string]*pathRuns)
 	c.d = &deployment{t: t, store: platformtest.NewStore(), workers: make(map[string]*platformtest.Worker)}
 	t.Cleanup(c.d.store.Close)
 	c.d.configure(1, "ledger")
--- a/platformentry/fixture_test.go
+++ b/platformentry/fixture_test.go
@@ -172,7 +172,12 @@
 }
 
 func (d *deployment) sendBody(h *host, method, path string, header http.Header, body string) response {
-	id, resp, err := d.openBody(context.Background(), h, method, path, header, body)
+	return d.sendVia(http.DefaultTransport, h, method, path, header, body)
+}
+
+// sendVia sends one request over a transport and reads the complete response.
+func (d *deployment) sendVia(transport http.RoundTripper, h *host, method, path string, header http.Header, body string) response {
+	id, resp, err := d.openVia(context.Background(), transport, h, method, path, header, body)
 	if err != nil {
 		return response{id: id, err: err}
 	}
@@ -187,6 +192,10 @@
 }
 
 func (d *deployment) openBody(ctx context.Context, h *host, method, path string, header http.Header, body string) (id string, resp *http.Response, err error) {
+	return d.openVia(ctx, http.DefaultTransport, h, method, path, header, body)
+}
+
+func (d *deployment) openVia(ctx context.Context, transport http.RoundTripper, h *host, method, path string, header http.Header, body string) (id string, resp *http.Response, err error) {
 	id = fmt.Sprintf("%016x", lastRequestID.Add(1))
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.settings.Callers+path, strings.NewReader(body))
 	if err != nil {
@@ -199,7 +208,7 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	resp, err = http.DefaultTransport.RoundTrip(req)
+	resp, err = transport.RoundTrip(req)
 	return id, resp, err
 }
 
