quarantine, traffic: copies of a request count together, whoever sends them

Cause: the fingerprint of a request held the caller's address. The copies came from several addresses, and each was allowed three crashes. On this platform nothing but the address tells callers apart, and it does not identify them, so the fingerprint no longer has it. Origins of streams keep a fingerprint with it.

What that must not cost: copies of a polled request may run on all upstreams that end together for another reason. So a request needs two occasions, and on one occasion it is undecided: one host runs it, one at a time.

--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -29,7 +29,7 @@
 	if !f.route.Resumable {
 		return notResumableRefusal("streams of this route cannot be taken up")
 	}
-	query := ports.OriginQuery{Request: f.req.Resumes, Fingerprint: f.req.Fingerprint}
+	query := ports.OriginQuery{Request: f.req.Resumes, Fingerprint: f.req.CallerFingerprint}
 	origin, known := g.cfg.Origins.Of(ctx, query)
 	if !known {
 		return notResumableRefusal("no host knows which software version began this stream")
@@ -87,7 +87,7 @@
 		return
 	}
 	g.cfg.Origins.Begun(ports.StreamOrigin{
-		Request: request, Fingerprint: n.req.Fingerprint, Service: string(n.service), Version: n.version,
+		Request: request, Fingerprint: n.req.CallerFingerprint, Service: string(n.service), Version: n.version,
 		TTL: time.Until(n.req.Deadline) + originMargin,
 	})
 }
--- a/platformentry/crash_test.go
+++ b/platformentry/crash_test.go
@@ -61,6 +61,8 @@
 	runs    []time.Time
 	crashes []time.Time
 	crashed map[*platformtest.Worker]bool
+	// workers holds all processes.
+	workers []*platformtest.Worker
 	// byPath holds the runs of each crashing request.
 	byPath map[string]*pathRuns
 }
@@ -134,6 +136,9 @@
 
 func (c *crashingFleet) watch(w *platformtest.Worker) {
 	c.t.Cleanup(w.Close)
+	c.mu.Lock()
+	c.workers = append(c.workers, w)
+	c.mu.Unlock()
 	w.SetStream(c.events, c.pause)
 	w.SetLatency(c.latency)
 	w.SetFault(func(r *http.Request) platformtest.Fault { return c.fault(w, r) })
@@ -146,6 +151,13 @@
 	w.Register(c.d.store, "ready")
 }
 
+// ledgers returns the processes of the plain service.
+func (c *crashingFleet) ledgers() []*platformtest.Worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(c.workers), func(w *platformtest.Worker) bool { return w.Service != "ledger" })
+}
+
 func (c *crashingFleet) replace(w *platformtest.Worker) {
 	if !c.sameAddress {
 		c.addWorker(w.ID+"x", w.Service, w.Zone, w.Stage)
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -64,6 +64,9 @@
 	// strikeExchangeTime is the time in which the strikes of a crash reach all hosts that
 	// are in touch with the store.
 	strikeExchangeTime = 500 * time.Millisecond
+	// requestCrashOccasions is the number of occasions on which upstreams must crash with a
+	// request: callers do not identify themselves, so a fingerprint has those of all callers.
+	requestCrashOccasions = 2
 	// peerIdleTimeout is how long an idle connection to another host is kept open.
 	peerIdleTimeout = 30 * time.Second
 	// maxIdlePeerConns limits the idle connections that are kept open to each host.
@@ -127,7 +130,7 @@
 	d.registry = registry.New(d.storeSource, d.catalog, d.hosts)
 	d.configPeers = registry.NewConfigPeers(d.catalog.Config, d.catalog)
 	d.quarantine = quarantine.New(quarantine.Config{
-		Counters: counterSet, DecisionDelay: strikeExchangeTime, OnObserved: func(s ports.Strike) { d.strikes.Observed(s) },
+		Counters: counterSet, DecisionDelay: strikeExchangeTime, RequestOccasions: requestCrashOccasions, OnObserved: func(s ports.Strike) { d.strikes.Observed(s) },
 	})
 	d.strikes = registry.NewStrikes(storeClient, d.storeSource, s.Host, d.quarantine, quarantine.DefaultStrikeTTL)
 	d.members = membership.New(membership.Config{
--- a/quarantine/judge.go
+++ b/quarantine/judge.go
@@ -63,10 +63,22 @@
 	case of.part:
 		return e.occasions >= l.cfg.StrikeLimit || e.occasions > 1 && e.strikes >= l.cfg.StrikeLimit+extraPartStrikes
 	default:
-		return e.strikes >= l.cfg.StrikeLimit || e.crashes >= l.cfg.StrikeLimit+extraCrashes
+		return l.enoughStrikes(e) && e.occasions >= l.cfg.RequestOccasions
 	}
 }
 
+// enoughStrikes reports whether a request has strikes enough to be quarantined.
+func (l *List) enoughStrikes(e evidence) bool {
+	return e.strikes >= l.cfg.StrikeLimit || e.crashes >= l.cfg.StrikeLimit+extraCrashes
+}
+
+// onOneOccasion reports whether the upstreams whose crashes speak against a request ended
+// together, so that it may have been there for another reason.
+func (l *List) onOneOccasion(of subject, r *record) bool {
+	e := r.evidence()
+	return !of.part && l.enoughStrikes(e) && e.occasions < l.cfg.RequestOccasions
+}
+
 // rivals returns the other subjects that were on all upstreams whose crashes speak against
 // a subject at its limit, so that one more crash must tell which of them is the cause. A
 // part that completed before is no rival to what never did. Requests with extraCrashes
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -35,7 +35,7 @@
 	DefaultStrikeTTL = 10 * time.Minute
 	// simultaneousWindow is the time between two crashes within which they are one occasion.
 	// A part needs strikes from several: upstreams that end together for another reason all
-	// ran the common parts.
+	// ran the common parts. Config.RequestOccasions says so for requests.
 	simultaneousWindow = 200 * time.Millisecond
 	// extraPartStrikes is the number of strikes in addition to Config.StrikeLimit with which
 	// two occasions suffice for a part.
@@ -54,6 +54,8 @@
 	// maxRecords bounds the fingerprints with strikes, and those that completed, that are
 	// kept in memory.
 	maxRecords = 4096
+	// maxUnsentCompletions bounds the completions that are still to be sent to other hosts.
+	maxUnsentCompletions = 256
 	// maxRecordStrikes bounds the strikes of one fingerprint.
 	maxRecordStrikes = 16
 	// sameCrashWindow is the maximum difference between the times at which two hosts
@@ -92,6 +94,11 @@
 	// arrive. A request at the limit is refused for that time only, as they may show that
 	// it is not the cause. Zero means none.
 	DecisionDelay time.Duration
+	// RequestOccasions is the number of occasions that quarantine a request at the limit of
+	// strikes; zero means one. It is two where copies of many callers have one fingerprint:
+	// some may run on all upstreams that end together for another reason. On one occasion,
+	// the request is undecided.
+	RequestOccasions int
 	// OnObserved is called with each strike that this host records itself, and when a
 	// suspect completes on this host. It must neither block nor call the list. It may be
 	// nil.
@@ -111,6 +118,9 @@
 	// that arrive from other hosts afterwards do not count. completedParts holds those of
 	// all parts of prompts.
 	cleared, completedParts *bounded.Map[subject, time.Time]
+	// unsent holds the completions of suspects that are still to be sent to other hosts, with
+	// the number of times.
+	unsent *bounded.Map[subject, int]
 	// mustJudge means that strikes changed so that judge may decide otherwise.
 	mustJudge bool
 }
@@ -151,6 +161,7 @@
 		culprits:       make(map[subject]*record),
 		cleared:        bounded.New[subject, time.Time](maxRecords),
 		completedParts: bounded.New[subject, time.Time](maxRecords),
+		unsent:         bounded.New[subject, int](maxUnsentCompletions),
 	}
 }
 
@@ -227,13 +238,13 @@
 }
 
 // Undecided reports whether the request or a part of its prompt has strikes enough to be
-// quarantined, but shares its crashes with another subject or is tried again, and returns
-// its fingerprint.
+// quarantined, but shares its crashes with another subject, has all of them from one occasion
+// or is tried again, and returns its fingerprint.
 func (l *List) Undecided(request uint64, parts ...uint64) (fingerprint uint64, undecided bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range subjectsOf(request, parts) {
-		if r := l.unexpiredRecord(s); r != nil && (len(r.rivals) > 0 || l.onTrial(s, r)) {
+		if r := l.unexpiredRecord(s); r != nil && (len(r.rivals) > 0 || l.onTrial(s, r) || l.onOneOccasion(s, r)) {
 			return s.fingerprint, true
 		}
 	}
@@ -277,7 +288,7 @@
 	for _, s := range subjectsOf(request, parts) {
 		_, suspected := l.records.Entries[s]
 		if suspected || s.part {
-			l.clearUntil(s, now)
+			l.clearUntil(s, now, sendsPerStrike)
 		}
 		if suspected {
 			l.observed(ports.Strike{Fingerprint: s.fingerprint, Part: s.part})
@@ -295,8 +306,8 @@
 }
 
 // clearUntil removes the strikes of a subject until the time at which it completed. They
-// do not count if they arrive later.
-func (l *List) clearUntil(of subject, completedAt time.Time) {
+// do not count if they arrive later. If there were any, the completion is sent to other hosts.
+func (l *List) clearUntil(of subject, completedAt time.Time, sends int) {
 	completions := l.completions(of)
 	if !completedAt.After(completions.Entries[of]) {
 		return
@@ -306,6 +317,9 @@
 	if r == nil {
 		return
 	}
+	if sends > 0 {
+		l.unsent.Put(of, sends)
+	}
 	l.count(defCleared, 1)
 	if len(r.strikes) > 1 {
 		klog.InfoS("suspect completed", "fingerprint", of.fingerprint, "part", of.part, "strikes", len(r.strikes))
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -230,3 +230,28 @@
 		}
 	})
 }
+
+// Upstreams that end together for another reason must not quarantine a request of which many
+// callers sent copies; one host tries it again.
+func TestSimultaneousCrashesLeaveARequestUndecided(t *testing.T) {
+	for _, completes := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			l := New(Config{Counters: counters.NewSet(), RequestOccasions: 2})
+			for i := range 9 {
+				l.RecordCrash(domain.UpstreamID(fmt.Sprint("p", i)), []uint64{7})
+			}
+			if _, undecided := l.Undecided(7); !undecided || l.Check(7) != nil || !l.AtLastStrike(7) {
+				t.Fatal("the request is refused, or may run on several hosts at once")
+			}
+			time.Sleep(time.Second)
+			if completes {
+				l.Clear(7)
+			} else {
+				l.RecordCrash("p9", []uint64{7})
+			}
+			if _, undecided := l.Undecided(7); undecided || (l.Check(7) == nil) != completes {
+				t.Errorf("completes: %t; undecided: %t, refused: %v", completes, undecided, l.Check(7))
+			}
+		})
+	}
+}
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -14,7 +14,9 @@
 	// receives a new strike forwards it as often, so that few sends reach all hosts.
 	sendsPerStrike = 12
 	// maxStrikesPerMessage bounds the strikes that one message to another host carries.
-	maxStrikesPerMessage = 24
+	maxStrikesPerMessage = 8
+	// maxCompletionsPerMessage bounds the completions among them.
+	maxCompletionsPerMessage = 4
 )
 
 // pendingStrike is a strike that is still to be sent to other hosts.
@@ -24,9 +26,9 @@
 	strike  *strike
 }
 
-// Updates returns the strikes to send in the next message to another host, those of
-// the requests with the most strikes first. Each strike is returned a bounded number of
-// times.
+// Updates returns the strikes and completions to send in the next message to another host:
+// completions, as other hosts may delay these requests, then the strikes of the requests with
+// the most strikes. Each is returned a bounded number of times.
 func (l *List) Updates() []ports.Strike {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -40,8 +42,8 @@
 		}
 	}
 	slices.SortFunc(all, comparePending)
-	out := make([]ports.Strike, 0, min(len(all), maxStrikesPerMessage))
-	for _, w := range all[:min(len(all), maxStrikesPerMessage)] {
+	out := l.unsentCompletions(now)
+	for _, w := range all[:min(len(all), maxStrikesPerMessage-len(out))] {
 		w.strike.sendsLeft--
 		out = append(out, ports.Strike{
 			Fingerprint: w.of.fingerprint,
@@ -54,6 +56,21 @@
 	return out
 }
 
+// unsentCompletions returns the completions for the next message.
+func (l *List) unsentCompletions(now time.Time) []ports.Strike {
+	var out []ports.Strike
+	for of, left := range l.unsent.Entries {
+		if len(out) >= maxCompletionsPerMessage {
+			break
+		}
+		if l.unsent.Entries[of] = left - 1; left <= 1 {
+			l.unsent.Remove(of)
+		}
+		out = append(out, ports.Strike{Fingerprint: of.fingerprint, Part: of.part, Age: now.Sub(l.completions(of).Entries[of])})
+	}
+	return out
+}
+
 // comparePending sorts strikes of requests with more strikes first, then strikes that
 // were sent less often. The other keys make the order deterministic.
 func comparePending(a, b pendingStrike) int {
@@ -80,7 +97,7 @@
 	for _, s := range strikes {
 		of := subject{fingerprint: s.Fingerprint, part: s.Part}
 		if s.Upstream == "" {
-			l.clearUntil(of, now.Add(-s.Age))
+			l.clearUntil(of, now.Add(-s.Age), sends)
 			continue
 		}
 		recorded := l.recordStrike(of, strike{
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,9 +22,11 @@
 	// generation, OutputHint is the caller's estimate of the output size. All are in
 	// tokens, 0 if unknown.
 	PromptTokens, MaxOutput, OutputHint int
-	// Fingerprint identifies what is sent and by whom. It is the same for each attempt
-	// of a caller, at any host, and 0 if it is unknown.
+	// Fingerprint identifies what is sent. It is the same for each attempt of each caller, at
+	// any host, and 0 if it is unknown.
 	Fingerprint uint64
+	// CallerFingerprint also identifies by whom it is sent.
+	CallerFingerprint uint64
 	// Parts identify the parts of the prompt that other requests may share, in order, by
 	// PartFingerprint. There are at most MaxParts.
 	Parts []uint64
@@ -37,15 +40,26 @@
 	Message any
 }
 
-// Fingerprint returns the fingerprint of a request: a hash of the caller, the host name,
-// the path with its query, and the body.
-func Fingerprint(caller, host, target string, body []byte) uint64 {
+// Fingerprint returns the fingerprint of a request: a hash of the host name, the path with
+// its query, and the body.
+func Fingerprint(host, target string, body []byte) uint64 {
+	return hash([]byte(host), []byte(target), body)
+}
+
+// CallerFingerprint returns the fingerprint of a request of one caller.
+func CallerFingerprint(caller string, fingerprint uint64) uint64 {
+	return hash([]byte(caller), binary.LittleEndian.AppendUint64(nil, fingerprint))
+}
+
+// hash returns a hash of texts that hold no zero bytes, but for the last one.
+func hash(texts ...[]byte) uint64 {
 	d := xxhash.New()
-	for _, part := range []string{caller, host, target} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
+	for i, text := range texts {
+		if i > 0 {
+			_, _ = d.Write([]byte{0})
+		}
+		_, _ = d.Write(text)
 	}
-	_, _ = d.Write(body)
 	return d.Sum64()
 }
 
