quarantine, dispatch: tell the successor of a crashed upstream from the upstream

Cause: a crash is named after the process that the registry lists. Without the store that entry stays, so that all later crashes at an address were one crash, and several requests soon had strikes from all upstreams in common: each was a rival of the others, for ever.

A request that was sent after the crash of the listed process was known reached another one. Its crash is recorded under the name of a successor, and crashes of successors are told apart by their time, within less than the time that processes take to start.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -41,11 +41,12 @@
 		return
 	}
 	g.metrics.crashes.Add(1)
-	g.cfg.Quarantine.RecordCrash(domain.UpstreamID(up.Incarnation().String()), []uint64{f.req.Fingerprint}, f.parts...)
+	process := g.cfg.Quarantine.Process(domain.UpstreamID(up.Incarnation().String()), f.sentAt)
+	g.cfg.Quarantine.RecordCrash(process, []uint64{f.req.Fingerprint}, f.parts...)
 	klog.InfoS("upstream crashed while it had a request", "request", f.req.ID, "fingerprint", f.req.Fingerprint,
 		"parts", f.parts[:min(len(f.parts), maxLoggedParts)], "upstreams_used", len(f.sent),
 		"target", f.req.Host, "path", f.req.Path[:min(len(f.req.Path), maxLoggedPath)],
-		"upstream", up.ID, "role", up.Role, "process", up.Incarnation().String())
+		"upstream", up.ID, "role", up.Role, "process", process)
 }
 
 // errEndedByCrash means that an unframed response ended because the upstream's process did.
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -95,6 +95,8 @@
 	// sent holds the upstreams that may have received the request. tried also holds
 	// those that it did not reach.
 	sent, tried map[domain.UpstreamID]bool
+	// sentAt is when the last call to an upstream began.
+	sentAt time.Time
 	// replaced holds the processes in whose place others were found. Their entries are out of
 	// date.
 	replaced map[traffic.Incarnation]bool
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -339,6 +339,7 @@
 // is canceled if the engine does not respond within streamSilenceTimeout.
 func (g *Gate) startStream(ctx context.Context, n *generation, reservation *traffic.Reservation, prompt *traffic.Prompt) (traffic.Stream, error) {
 	g.cfg.RateLimits.Sent(reservation.Engine)
+	n.sentAt = time.Now()
 	options := n.sendOptions(reservation, prompt)
 	if !n.route.Resumable {
 		return g.cfg.Upstreams.Stream(ctx, reservation.Engine, n.req, options)
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -121,6 +121,7 @@
 // call sends the request to one upstream and records the outcome.
 func (g *Gate) call(ctx context.Context, f *inFlight, up *traffic.Upstream) (*traffic.Answer, error) {
 	began := time.Now()
+	f.sentAt = began
 	limit := f.answerDeadline.Sub(began)
 	if f.route.Repeatable() && len(f.sent)+1 < f.route.MaxAttempts {
 		limit = time.Duration(firstAttemptShare * float64(limit))
--- a/dispatch/prefill.go
+++ b/dispatch/prefill.go
@@ -99,6 +99,7 @@
 	t := g.stats.forUpstream(up)
 	t.callStarted()
 	began := time.Now()
+	n.sentAt = began
 	g.cfg.RateLimits.Sent(up)
 	prompt, err := g.cfg.Upstreams.Prefill(ctx, up, n.req, n.sendOptions(nil, nil))
 	g.observeReach(ctx, n.service, err)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -61,6 +61,11 @@
 	// sameCrashWindow is the maximum difference between the times at which two hosts
 	// record the same crash of an upstream.
 	sameCrashWindow = 15 * time.Second
+	// sameSuccessorWindow replaces it for successors of an upstream, which have one name. It is
+	// shorter than the time that most processes take to start.
+	sameSuccessorWindow = 600 * time.Millisecond
+	// successorSuffix marks the name of a successor.
+	successorSuffix = "+"
 )
 
 var (
@@ -121,6 +126,8 @@
 	// unsent holds the completions of suspects that are still to be sent to other hosts, with
 	// the number of times.
 	unsent *bounded.Map[subject, int]
+	// ends holds the time of the first known crash of each upstream.
+	ends *bounded.Map[domain.UpstreamID, time.Time]
 	// mustJudge means that strikes changed so that judge may decide otherwise.
 	mustJudge bool
 }
@@ -162,6 +169,7 @@
 		cleared:        bounded.New[subject, time.Time](maxRecords),
 		completedParts: bounded.New[subject, time.Time](maxRecords),
 		unsent:         bounded.New[subject, int](maxUnsentCompletions),
+		ends:           bounded.New[domain.UpstreamID, time.Time](maxRecords),
 	}
 }
 
@@ -266,6 +274,18 @@
 	l.judge()
 }
 
+// Process returns the name under which to record that an upstream crashed with a request that
+// was sent to it at a time. If the upstream had crashed before that, another process has taken its
+// place, which the registry does not show yet.
+func (l *List) Process(upstream domain.UpstreamID, sentAt time.Time) domain.UpstreamID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if endedAt, ended := l.ends.Entries[upstream]; ended && sentAt.After(endedAt) {
+		return upstream + successorSuffix
+	}
+	return upstream
+}
+
 // recordOwn records a strike that this host observed.
 func (l *List) recordOwn(of subject, s strike) {
 	if l.recordStrike(of, s) {
@@ -335,6 +355,9 @@
 // which the subject completed. It reports whether it recorded the strike.
 func (l *List) recordStrike(of subject, s strike) bool {
 	now := time.Now()
+	if endedAt, known := l.ends.Entries[s.upstream]; !known || s.crashedAt.Before(endedAt) {
+		l.ends.Put(s.upstream, s.crashedAt)
+	}
 	if of.fingerprint == 0 || now.Sub(s.crashedAt) > l.cfg.StrikeTTL || !s.crashedAt.After(l.completions(of).Entries[of]) {
 		return false
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -255,3 +255,32 @@
 		})
 	}
 }
+
+// A process that took the place of a crashed upstream is not that upstream, and each of its
+// crashes is one of its own; two hosts that see the same crash count it once.
+func TestSuccessorOfACrashedUpstreamIsAnotherProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newList(), newList()
+		a.RecordCrash(a.Process("u1", time.Now()), []uint64{7})
+		b.Merge(a.Updates())
+		for range 2 {
+			time.Sleep(time.Second)
+			sentAt := time.Now()
+			time.Sleep(10 * time.Millisecond)
+			for _, l := range []*List{a, b} {
+				if l.Check(7) != nil {
+					t.Fatal("refused before the third process crashed")
+				}
+				l.RecordCrash(l.Process("u1", sentAt), []uint64{7, 8})
+			}
+			a.Merge(b.Updates())
+			b.Merge(a.Updates())
+		}
+		if a.Check(7) == nil || b.Check(7) == nil {
+			t.Error("not refused after three processes crashed at one address")
+		}
+		if a.Check(8) != nil {
+			t.Error("a request with two strikes is refused: a crash that two hosts saw counts twice")
+		}
+	})
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"greengagespoke/domain"
@@ -34,6 +35,18 @@
 	sendsLeft int
 }
 
+// successor reports whether the strike is for a successor of an upstream.
+func (s strike) successor() bool { return strings.HasSuffix(string(s.upstream), successorSuffix) }
+
+// sameCrash reports whether two strikes are for the same crash.
+func (s strike) sameCrash(other strike) bool {
+	window := sameCrashWindow
+	if s.successor() {
+		window = sameSuccessorWindow
+	}
+	return s.upstream == other.upstream && s.crashedAt.Sub(other.crashedAt).Abs() <= window
+}
+
 // suspect reports whether a strike is not explained.
 func (r *record) suspect() bool {
 	return slices.ContainsFunc(r.strikes, func(s strike) bool { return !s.explained })
@@ -44,7 +57,7 @@
 	s.crashes = 1
 	for i := range r.strikes {
 		own := &r.strikes[i]
-		if own.upstream != s.upstream {
+		if own.upstream != s.upstream || s.successor() && !own.sameCrash(s) {
 			continue
 		}
 		own.suspects = max(own.suspects, s.suspects)
@@ -87,7 +100,7 @@
 // sharesCrash reports whether the record has a strike for the same crash.
 func (r *record) sharesCrash(s strike) bool {
 	for _, own := range r.strikes {
-		if own.upstream == s.upstream && own.crashedAt.Sub(s.crashedAt).Abs() <= sameCrashWindow {
+		if own.sameCrash(s) {
 			return true
 		}
 	}
