quarantine: a completion does not clear a request that goes on to crash upstreams

Cause: each completion dropped all strikes, so that three crashes in a row were needed, and hosts that had refused it ran it again because a copy completed elsewhere.

Strikes from before a completion are kept aside and count again with the next crash. From then on a completion clears nothing, unless the request runs well more than eight times on a host between two crashes, as a request does that was only there.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -51,6 +51,10 @@
 	// extraCrashes is the number of crashes in addition to Config.StrikeLimit after which a
 	// request is quarantined that crashes the same few upstreams repeatedly.
 	extraCrashes = 1
+	// maxCompletionsBetween is the number of completions between two crashes up to which the
+	// strikes before them count again: some requests crash only some upstreams, or not each
+	// time. What runs well more often was there when others crashed them.
+	maxCompletionsBetween = 8
 	// maxRecords bounds the fingerprints with strikes, and those that completed, that are
 	// kept in memory.
 	maxRecords = 4096
@@ -306,11 +310,15 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, s := range subjectsOf(request, parts) {
-		_, suspected := l.records.Entries[s]
-		if suspected || s.part {
+		r, known := l.records.Entries[s]
+		if known && r.completedBefore() {
+			l.completedAgain(s, r)
+			continue
+		}
+		if known || s.part {
 			l.clearUntil(s, now, sendsPerStrike)
 		}
-		if suspected {
+		if known {
 			l.observed(ports.Strike{Fingerprint: s.fingerprint, Part: s.part})
 		}
 	}
@@ -325,8 +333,8 @@
 	return l.cleared
 }
 
-// clearUntil removes the strikes of a subject until the time at which it completed. They
-// do not count if they arrive later. If there were any, the completion is sent to other hosts.
+// clearUntil clears the strikes of a subject until the time at which it completed. They do not
+// count if they arrive later. If there were any, the completion is sent to other hosts.
 func (l *List) clearUntil(of subject, completedAt time.Time, sends int) {
 	completions := l.completions(of)
 	if !completedAt.After(completions.Entries[of]) {
@@ -337,6 +345,9 @@
 	if r == nil {
 		return
 	}
+	if r.completedBefore() {
+		return
+	}
 	if sends > 0 {
 		l.unsent.Put(of, sends)
 	}
@@ -345,8 +356,17 @@
 		klog.InfoS("suspect completed", "fingerprint", of.fingerprint, "part", of.part, "strikes", len(r.strikes))
 	}
 	l.mustJudge = l.mustJudge || len(r.strikes) >= l.cfg.StrikeLimit || r.crashes() > l.cfg.StrikeLimit
-	r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return !s.crashedAt.After(completedAt) })
-	if len(r.strikes) == 0 {
+	r.clear(completedAt)
+	if of.part && len(r.strikes) == 0 {
+		l.remove(of)
+	}
+}
+
+// completedAgain counts a completion on this host of a request that had completed before, and
+// drops its strikes for good once it ran well often enough.
+func (l *List) completedAgain(of subject, r *record) {
+	if r.completions++; r.completions > maxCompletionsBetween {
+		l.mustJudge = l.mustJudge || len(r.strikes) > 0
 		l.remove(of)
 	}
 }
@@ -371,6 +391,9 @@
 	if !r.addStrike(s) {
 		return false
 	}
+	if !of.part {
+		r.reinstate()
+	}
 	if trial {
 		r.failedTrials++
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -284,3 +284,29 @@
 		}
 	})
 }
+
+// A request that completes now and then, and crashes upstreams otherwise, is refused; one that
+// runs well far more often is not.
+func TestRequestThatCrashesSomeUpstreamsIsRefused(t *testing.T) {
+	for completions, refused := range map[int]bool{1: true, maxCompletionsBetween: true, maxCompletionsBetween + 2: false} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newList()
+			for i := range DefaultStrikeLimit {
+				if l.Check(7) != nil {
+					t.Fatalf("refused after %d crashes", i)
+				}
+				time.Sleep(time.Second)
+				l.RecordCrash(domain.UpstreamID(fmt.Sprint("p", i)), []uint64{7})
+				if i == DefaultStrikeLimit-1 {
+					break
+				}
+				for range completions {
+					l.Clear(7)
+				}
+			}
+			if got := l.Check(7) != nil; got != refused {
+				t.Errorf("%d completions between two crashes; refused: %t, want %t", completions, got, refused)
+			}
+		})
+	}
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -11,6 +11,13 @@
 // record holds the strikes of one subject.
 type record struct {
 	strikes []strike
+	// cleared holds the strikes of a request from before it completed. completions counts how
+	// often it did on this host since its last strike.
+	cleared     []strike
+	completions int
+	// relapsed means that the request crashed an upstream after it had completed, so that a
+	// completion does not clear it any more.
+	relapsed bool
 	// quarantined means that the subject is known to crash upstreams.
 	quarantined bool
 	// rivals are, of a subject with strikes enough to be quarantined, the others of which
@@ -79,6 +86,32 @@
 	return true
 }
 
+// clear clears the strikes until a completion.
+func (r *record) clear(completedAt time.Time) {
+	isCleared := func(s strike) bool { return !s.crashedAt.After(completedAt) }
+	for _, s := range r.strikes {
+		if isCleared(s) {
+			r.cleared = append(r.cleared, s)
+		}
+	}
+	r.strikes = slices.DeleteFunc(r.strikes, isCleared)
+	r.completions = 1
+}
+
+// completedBefore reports whether a request with strikes has completed before.
+func (r *record) completedBefore() bool { return r.relapsed || len(r.strikes) == 0 }
+
+// reinstate lets the cleared strikes of a request count again that crashed an upstream after it
+// had completed.
+func (r *record) reinstate() {
+	if len(r.cleared) > 0 {
+		r.relapsed = true
+		r.strikes = append(r.cleared, r.strikes...)
+		r.strikes = r.strikes[max(0, len(r.strikes)-maxRecordStrikes):]
+	}
+	r.cleared, r.completions = nil, 0
+}
+
 func (r *record) crashes() int {
 	n := 0
 	for _, s := range r.strikes {
@@ -109,9 +142,11 @@
 
 func (r *record) lastCrash() time.Time {
 	var lastCrash time.Time
-	for _, s := range r.strikes {
-		if s.crashedAt.After(lastCrash) {
-			lastCrash = s.crashedAt
+	for _, strikes := range [][]strike{r.strikes, r.cleared} {
+		for _, s := range strikes {
+			if s.crashedAt.After(lastCrash) {
+				lastCrash = s.crashedAt
+			}
 		}
 	}
 	return lastCrash
