catalog, platform/upstream: an upstream that says it leaves gets no new requests

Cause: what hosts know of leaving upstreams came from the store alone. The word is read from the head and the trailers of each response, also of calls that the system itself makes, and makes the process leave in the catalog, which all paths ask: it stays registered, so that its streams run on, and is not ready. An entry that says ready does not bring it back; the next process is another one. A host tells another one which process said so in an answer to a request that was passed on. It is told to no one else: one wrong word must not take a service out of use everywhere.

A generation whose service has no decode engine is refused at once; it was held for 2 s.

--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -184,3 +184,36 @@
 		t.Error("an entry that is still there when the copy has settled is ignored")
 	}
 }
+
+// An upstream that said that it leaves takes no new requests, whatever the registry says of it
+// later; another process with its identifier and address does, and one whose start is not known
+// once the entry of the first is gone.
+func TestUpstreamThatSaidItLeavesIsNotReady(t *testing.T) {
+	now := time.Now()
+	for _, born := range []int64{1, 0} {
+		c, up := New(), testUpstream("u", born)
+		put := func(u *traffic.Upstream) { c.Change([]traffic.UpstreamChange{{ID: "u", Upstream: u}}, now) }
+		put(up)
+		c.Announced(testUpstream("u", born+1))
+		if !c.Current(up) {
+			t.Error("the word of another process counts")
+		}
+		c.AnnouncedProcess(up.Incarnation().String())
+		put(testUpstream("u", born))
+		c.RegistryLost()
+		c.RegistryRegained(now)
+		c.Replace([]*traffic.Upstream{up}, now)
+		if c.Current(up) || len(c.Ready(up.Service)) > 0 || !c.Known(up) {
+			t.Errorf("start %d: the upstream is used again, or not known", born)
+		}
+		c.Change([]traffic.UpstreamChange{{ID: "u"}}, now.Add(time.Minute))
+		put(up)
+		if c.Current(up) != (born == 0) {
+			t.Errorf("start %d: current %t after its entry was gone", born, c.Current(up))
+		}
+		put(testUpstream("u", born+2))
+		if len(c.Ready(up.Service)) != 1 {
+			t.Error("the next process is not used")
+		}
+	}
+}
--- a/catalog/upstreams.go
+++ b/catalog/upstreams.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/bounded"
 	"greengagespoke/traffic"
 )
 
@@ -45,10 +46,19 @@
 	// time. Until restoredUntil they are not taken for ready again by a whole read.
 	left          map[traffic.Incarnation]time.Time
 	restoredUntil time.Time
+	// announced holds the processes that said in a response that they leave, whatever the
+	// registry says of them.
+	announced *bounded.Map[traffic.Incarnation, bool]
 }
 
+// maxAnnounced bounds the processes of which it is kept that they said so.
+const maxAnnounced = 4096
+
 func newRegistry() registry {
-	return registry{known: make(map[domain.UpstreamID]*traffic.Upstream), expired: make(map[domain.UpstreamID]time.Time), left: make(map[traffic.Incarnation]time.Time)}
+	return registry{
+		known: make(map[domain.UpstreamID]*traffic.Upstream), expired: make(map[domain.UpstreamID]time.Time), left: make(map[traffic.Incarnation]time.Time),
+		announced: bounded.New[traffic.Incarnation, bool](maxAnnounced),
+	}
 }
 
 // upstreamSnapshot is an immutable snapshot of the registered upstreams.
@@ -77,6 +87,34 @@
 	return ok && registered.Incarnation() == u.Incarnation()
 }
 
+// Announced records that an upstream said in a response that it leaves. From then on it takes no
+// new requests of this host, also if the registry cannot be read or says that it is ready. Other
+// hosts are not told: one wrong word must not take a service out of use everywhere.
+func (c *Catalog) Announced(u *traffic.Upstream) {
+	registered, ok := c.snapshot.Load().all[u.ID]
+	if !ok || registered.Incarnation() != u.Incarnation() || registered.State == traffic.UpstreamDraining {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.registry.announced.Entries[u.Incarnation()] {
+		return
+	}
+	c.registry.announced.Put(u.Incarnation(), true)
+	klog.InfoS("upstream says that it leaves", "upstream", u.ID, "service", u.Service, "process", u.Incarnation().String())
+	c.publish()
+}
+
+// AnnouncedProcess does the same for the process with a name, as Incarnation.String returns it.
+func (c *Catalog) AnnouncedProcess(name string) {
+	for _, u := range c.snapshot.Load().all {
+		if u.Incarnation().String() == name {
+			c.Announced(u)
+			return
+		}
+	}
+}
+
 // RegistryLost records that the registry cannot be read.
 func (c *Catalog) RegistryLost() {
 	c.mu.Lock()
@@ -114,6 +152,14 @@
 	c.registry.left[u.Incarnation()] = now
 }
 
+// forgetAnnounced forgets what a removed process said of leaving if its start is not known: the
+// next process with its identifier and address cannot be told from it.
+func (c *Catalog) forgetAnnounced(u *traffic.Upstream) {
+	if u.StartedAtMillis == 0 {
+		c.registry.announced.Remove(u.Incarnation())
+	}
+}
+
 // outdated reports whether an entry of a whole read is from a copy that is older than what
 // is known of the upstream.
 func (c *Catalog) outdated(u *traffic.Upstream, now time.Time) bool {
@@ -176,6 +222,7 @@
 		return
 	}
 	c.noteLeft(u, now)
+	c.forgetAnnounced(u)
 	delete(c.registry.known, id)
 	delete(c.registry.expired, id)
 	klog.InfoS("upstream removed", "upstream", id, "service", u.Service, "address", u.Address)
@@ -214,6 +261,7 @@
 		}
 		klog.InfoS("upstream removed", "upstream", id, "reason", "its entry did not come back")
 		c.noteLeft(c.registry.known[id], now)
+		c.forgetAnnounced(c.registry.known[id])
 		delete(c.registry.expired, id)
 		delete(c.registry.known, id)
 		changed = true
@@ -227,7 +275,13 @@
 // hold the lock.
 func (c *Catalog) publish() {
 	next := &upstreamSnapshot{ready: make(map[traffic.ServiceName][]*traffic.Upstream), all: maps.Clone(c.registry.known)}
-	for _, u := range c.registry.known {
+	for id, u := range c.registry.known {
+		if u.State == traffic.UpstreamReady && c.registry.announced.Entries[u.Incarnation()] {
+			leaving := *u
+			leaving.State = traffic.UpstreamDraining
+			next.all[id] = &leaving
+			continue
+		}
 		if u.State == traffic.UpstreamReady {
 			next.ready[u.Service] = append(next.ready[u.Service], u)
 		}
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -164,6 +164,9 @@
 		if p.gate.isCutOff(f) {
 			return nil, cutOffRefusal(f.service)
 		}
+		if !p.gate.hasDecodeEngine(f.service) {
+			return nil, noUpstreamRefusal(f.service)
+		}
 		now := time.Now()
 		if q.isFirst(w, now) {
 			r, result := p.tryReserve(ctx, f, q, now, now.After(w.onTimeUntil))
@@ -192,6 +195,11 @@
 	}
 }
 
+// hasDecodeEngine reports whether a decode engine of a service takes new requests.
+func (g *Gate) hasDecodeEngine(service traffic.ServiceName) bool {
+	return slices.ContainsFunc(g.cfg.Catalog.Ready(service), func(up *traffic.Upstream) bool { return up.Role == domain.RoleDecode })
+}
+
 // wait blocks until the waiter is signalled or interval has passed. It returns
 // false if ctx ended.
 func (w *waiter) wait(ctx context.Context, interval time.Duration) bool {
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -158,7 +158,9 @@
 	d.storeSource.Bind(d.members.Members, peers.Relay)
 	d.catalog.OnApply(d.members.SetRevision)
 	loads := stages.NewLoads()
-	d.upstreams.OnRateLimit(d.rateLimits.Observe)
+	d.upstreams.Listen(upstream.Listener{
+		RateLimit: d.rateLimits.Observe, Leaving: d.catalog.Announced, LeavingElsewhere: d.catalog.AnnouncedProcess,
+	})
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load,
 		Budget: d.retryBudget, Loads: loads, Quarantine: d.quarantine, Decides: d.decides,
--- a/platformentry/leave_rest_test.go
+++ b/platformentry/leave_rest_test.go
@@ -310,3 +310,37 @@
 	defer knownred.Done(t)
 	trial.play(t)
 }
+
+// A host that was cut from an upstream must send it nothing once it has passed on another host's
+// answer in which the upstream says that it leaves.
+func TestLeavingUpstreamIsKnownFromAnotherHostsAnswer(t *testing.T) {
+	c := &cutTrial{t: t, hosts: 2, links: make(map[*host]*platformtest.HostLinks)}
+	takeTrialSlot(t)
+	c.start()
+	h := c.d.hosts[0]
+	c.links[h].Set(platformtest.LinkReset)
+	c.d.waitFor("request passed on", func() bool { return c.d.send(h, "POST", "/status/x", nil).status == 200 })
+	for _, w := range c.d.workers {
+		w.SetLeaving("1")
+	}
+	var word response
+	c.d.waitFor("word passed on", func() bool {
+		word = c.d.send(h, "POST", "/status/x", nil)
+		return word.header.Get(wire.HeaderLeaving) == "1"
+	})
+	leaving := c.d.workers[strings.TrimPrefix(word.header.Get(wire.HeaderSeal), "seal-")]
+	for _, w := range c.d.workers {
+		if w.Service == leaving.Service && w != leaving {
+			c.d.store.Delete(wire.TableUpstreams, w.ID)
+		}
+	}
+	c.links[h].Set(platformtest.LinkOpen)
+	time.Sleep(drainTime)
+	before := len(leaving.Arrivals())
+	for range 30 {
+		c.d.send(h, "POST", "/status/x", nil)
+	}
+	if late := len(leaving.Arrivals()) - before; late > 0 {
+		t.Errorf("%d requests reached the upstream that leaves", late)
+	}
+}
