ratelimit, dispatch: an upstream that asks for rest gets it

Cause: the time that a rejection names was read nowhere. All paths take a grant from ratelimit before they send to an upstream, so a rest is kept there, by process and on the host that was asked: nothing is granted until it ends. Then one request goes first, and the others follow if it is not rejected with another rest. Where all upstreams rest, a request is refused at once and told when the first one ends. A stream whose engine asks for rest while its prompt is read goes to another engine with the prompt. Calls of the system itself wait as well: reservations, probes, releases, reports and orders. The rotation no longer counts such a rejection, so that an upstream is used again as soon as its rest is over.

--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -182,7 +182,7 @@
 		g.discardReservation(reservation)
 	}
 	switch {
-	case call.NotDelivered():
+	case call.NotDelivered(), call.Rests:
 		n.unusedPrompt = prompt
 	case call.Effect == traffic.EffectRejected:
 		g.discardPrompt(prompt)
@@ -243,7 +243,7 @@
 	switch {
 	case call.Misdirected:
 		return outcomeReplaced
-	case call.Effect == traffic.EffectRejected, ctx.Err() != nil, errors.Is(call, errEngineLeaving):
+	case call.Effect == traffic.EffectRejected, ctx.Err() != nil, errors.Is(call, errEngineLeaving), errors.Is(call, errEngineRests):
 		return outcomeIgnored
 	default:
 		return outcomeConnectionFailed
@@ -273,7 +273,15 @@
 
 // discardReservation releases an unused reservation in the background.
 func (g *Gate) discardReservation(reservation *traffic.Reservation) {
-	go g.cfg.Upstreams.ReleaseReservation(context.Background(), reservation)
+	go g.releaseReservation(context.Background(), reservation)
+}
+
+// releaseReservation releases an unused reservation, unless its engine wants no calls. It expires
+// then.
+func (g *Gate) releaseReservation(ctx context.Context, reservation *traffic.Reservation) {
+	if !g.cfg.RateLimits.Resting(reservation.Engine) {
+		g.cfg.Upstreams.ReleaseReservation(ctx, reservation)
+	}
 }
 
 // returnReservation releases a reservation whose engine was not sent the request.
@@ -286,7 +294,9 @@
 func (g *Gate) discardPrompt(prompt *traffic.Prompt) {
 	if prompt != nil {
 		g.metrics.prefillsWasted.Add(1)
-		g.cfg.Upstreams.ReleasePrompt(prompt)
+		if !g.cfg.RateLimits.Resting(prompt.Engine) {
+			g.cfg.Upstreams.ReleasePrompt(prompt)
+		}
 	}
 }
 
@@ -310,6 +320,9 @@
 // reserved.
 var errEngineLeaving = errors.New("the engine no longer takes work; another one is chosen")
 
+// errEngineRests means that an engine asked for rest after a slot on it was reserved.
+var errEngineRests = errors.New("the engine asked for rest; another one is chosen")
+
 // openStream starts the stream on the reserved decode engine, and keeps count of the
 // calls and of the upstreams that received the request.
 func (g *Gate) openStream(ctx context.Context, n *generation, reservation *traffic.Reservation, prompt *traffic.Prompt) (traffic.Stream, error) {
@@ -317,6 +330,9 @@
 	if !g.cfg.Catalog.Current(up) {
 		return nil, &traffic.CallError{Effect: traffic.EffectNotSent, Err: errEngineLeaving}
 	}
+	if g.cfg.RateLimits.Resting(up) {
+		return nil, &traffic.CallError{Effect: traffic.EffectNotSent, Err: errEngineRests}
+	}
 	sentBefore := n.sent[up.ID]
 	n.streamCalls++
 	n.sent[up.ID] = true
--- a/dispatch/hop.go
+++ b/dispatch/hop.go
@@ -46,7 +46,7 @@
 	switch {
 	case err == nil, call.Effect == traffic.EffectRejected, call.Misdirected:
 		g.cfg.Reach.Reached(service)
-	case errors.Is(err, errEngineLeaving), context.Cause(ctx) == context.Canceled:
+	case errors.Is(err, errEngineLeaving), errors.Is(err, errEngineRests), context.Cause(ctx) == context.Canceled:
 	default:
 		g.cfg.Reach.Failed(service)
 	}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -32,6 +32,9 @@
 	// maxRateRetryAfter is the longest retry delay that is reported if all upstreams are at
 	// their rate limits.
 	maxRateRetryAfter = 3 * time.Second
+	// maxRestRetryAfter is the longest retry delay that is reported if all upstreams asked for
+	// rest: others may come meanwhile.
+	maxRestRetryAfter = 30 * time.Second
 )
 
 // candidate is an upstream with its health as this host observed it.
@@ -61,7 +64,7 @@
 			healthy = append(healthy, c)
 		}
 	}
-	if slices.ContainsFunc(healthy, func(c candidate) bool { _, limited := g.cfg.RateLimits.Rate(c.up); return !limited }) {
+	if slices.ContainsFunc(healthy, func(c candidate) bool { return !g.cfg.RateLimits.Limited(c.up) }) {
 		return healthy
 	}
 	return append(healthy, unhealthy...)
@@ -131,17 +134,23 @@
 	return up, up == nil && len(from) > 0
 }
 
-// rateLimitedRefusal is the refusal of a request if all upstreams that might run it are at
-// the rate limits that they state.
+// rateLimitedRefusal is the refusal of a request if all upstreams that it may be sent to are at
+// the rate limits that they state, or asked for rest. A further attempt of the caller may go to
+// others.
 func (g *Gate) rateLimitedRefusal(f *inFlight) *domain.Refusal {
 	g.metrics.rateLimited.Add(1)
-	wait := maxRateRetryAfter
+	wait, now := maxRestRetryAfter, time.Now()
 	for _, up := range g.cfg.Catalog.Ready(f.service) {
-		if rate, limited := g.cfg.RateLimits.Rate(up); limited && f.fits(up) {
-			wait = min(wait, time.Duration(float64(time.Second)/rate))
+		if up.Role == domain.RolePrefill || !f.fits(up) || g.stats.forUpstream(up).health(now).unhealthy {
+			continue
+		}
+		next := g.cfg.RateLimits.Wait(up)
+		if !g.cfg.RateLimits.Resting(up) {
+			next = min(next, maxRateRetryAfter)
 		}
+		wait = min(wait, next)
 	}
-	return domain.Refuse(domain.RefusalOverloaded, "the upstreams of service "+string(f.service)+" are at the rate limits that they state",
+	return domain.Refuse(domain.RefusalOverloaded, "the upstreams of service "+string(f.service)+" are at the rate limits that they state, or asked for rest",
 		"try again after the stated time").WithRetryAfter(max(busyRetryAfter, wait))
 }
 
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -331,14 +331,14 @@
 		}
 		remaining = slices.DeleteFunc(remaining, func(c candidate) bool { return c.up == up })
 		ask := tokens
-		if _, limited := g.cfg.RateLimits.Rate(up); limited {
+		if g.cfg.RateLimits.Limited(up) {
 			ask = needed // An engine with a rate limit is not asked twice.
 		}
 		r, err := g.reserve(ctx, f, up, ask, ttl)
 		if err == nil && ask > needed {
 			// This reservation only checked the headroom. It must be released before
 			// the slot is reserved, or the two together need too much memory.
-			g.cfg.Upstreams.ReleaseReservation(ctx, r)
+			g.releaseReservation(ctx, r)
 			r, err = g.reserve(ctx, f, up, needed, ttl)
 		}
 		if err == nil {
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -167,6 +167,8 @@
 		return outcomeAnswered
 	case asCallError(err).Misdirected:
 		return outcomeReplaced
+	case asCallError(err).Rests:
+		return outcomeIgnored // RateLimits keeps requests away, and knows for how long.
 	case asCallError(err).Effect == traffic.EffectRejected:
 		return outcomeFailed
 	case context.Cause(ctx) == context.Canceled:
--- a/dispatch/readers.go
+++ b/dispatch/readers.go
@@ -100,7 +100,7 @@
 	for range min(maxIdleProbes, len(engines)) {
 		up, expected := g.prefillSelector.pick(remaining, zone)
 		remaining = slices.DeleteFunc(remaining, func(c candidate) bool { return c.up == up })
-		if _, limited := g.cfg.RateLimits.Rate(up); limited {
+		if g.cfg.RateLimits.Limited(up) {
 			if g.cfg.RateLimits.TakeReady(up) {
 				return up, expected
 			}
@@ -135,6 +135,6 @@
 		klog.V(1).InfoS("prefill engine not idle", "request", n.req.ID, "upstream", up.ID, "err", err)
 		return false
 	}
-	g.cfg.Upstreams.ReleaseReservation(ctx, r)
+	g.releaseReservation(ctx, r)
 	return true
 }
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -160,6 +160,7 @@
 	loads := stages.NewLoads()
 	d.upstreams.Listen(upstream.Listener{
 		RateLimit: d.rateLimits.Observe, Leaving: d.catalog.Announced, LeavingElsewhere: d.catalog.AnnouncedProcess,
+		Rest: d.rateLimits.Rest,
 	})
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load,
@@ -169,7 +170,7 @@
 	})
 	d.balancer = stages.New(stages.Config{
 		Self: s.Host, Services: d.modelServices, Members: d.members.Members, Loads: loads,
-		Duty: registry.NewDuty(storeClient, engineRolesDuty, s.Host, s.OrderLease), Engines: d.upstreams, Ready: d.mayDirectEngines,
+		Duty: registry.NewDuty(storeClient, engineRolesDuty, s.Host, s.OrderLease), Engines: awakeEngines{d.upstreams, d.rateLimits}, Ready: d.mayDirectEngines,
 	})
 	d.app = kratos.New(
 		kratos.ID(string(s.Host)), kratos.Name(appName), kratos.Server(d.newListeners(counterSet, metricsPort)...),
--- a/platformentry/leave_rest_test.go
+++ b/platformentry/leave_rest_test.go
@@ -31,6 +31,9 @@
 	wordTrial = drainTime + 3*time.Second
 	// maxReturnTime is the time after the end of a rest in which an upstream is used again.
 	maxReturnTime = 2 * time.Second
+	// returnCallers is the number of callers at each host by then, more than one upstream
+	// serves without delay.
+	returnCallers = 10
 )
 
 // wordTrialRun sends requests to hosts while some upstreams say that they leave, or reject all
@@ -59,6 +62,8 @@
 	// at which an upstream asked a host for rest.
 	toldAt   map[trialLink]time.Time
 	rejected map[trialLink][]time.Time
+	// restEnded means that upstreams no longer reject requests.
+	restEnded bool
 	// late holds the requests that reached an upstream although they must not; reached counts
 	// those that reached a speaker.
 	late, reached    int
@@ -123,7 +128,9 @@
 			break
 		}
 	}
-	c.rejected[link] = append(c.rejected[link], now)
+	if !c.restEnded {
+		c.rejected[link] = append(c.rejected[link], now)
+	}
 }
 
 // countSince returns the number of requests that reached an upstream from a host between the end
@@ -224,10 +231,14 @@
 		return
 	}
 	_, _, prefix := c.kind()
+	c.mu.Lock()
+	c.restEnded = true
+	c.mu.Unlock()
 	var speakers []*platformtest.Worker
 	for i := range c.speakers {
 		w := c.d.workers[fmt.Sprintf("%s-%d", prefix, i)]
 		w.SetRest("")
+		w.SetLatency(20 * time.Millisecond)
 		speakers = append(speakers, w)
 	}
 	ended := time.Now()
@@ -235,11 +246,17 @@
 	for _, w := range speakers {
 		before[w.ID] = len(w.Arrivals())
 	}
-	for time.Since(ended) < restTime+maxReturnTime {
-		for i, h := range hosts {
-			c.send(h, i)
+	var callers sync.WaitGroup
+	for i, h := range hosts {
+		for range returnCallers {
+			callers.Go(func() {
+				for time.Since(ended) < restTime+maxReturnTime {
+					c.send(h, i)
+				}
+			})
 		}
 	}
+	callers.Wait()
 	for _, w := range speakers {
 		if len(w.Arrivals()) == before[w.ID] {
 			knownred.Errorf(c.t, "%s was not used again within %s after its rest", w.ID, maxReturnTime)
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -7,6 +7,9 @@
 // Hosts agree on the granting host by their view of the members. If it cannot be reached,
 // nothing is granted until it is replaced. The hosts pass on what upstreams state with
 // their requests and replies, so that the newest statement holds for all of them.
+//
+// An upstream may also ask one host for rest. It then gets nothing from this host for the time
+// that it names, which other hosts need not know.
 package ratelimit
 
 import (
@@ -39,6 +42,9 @@
 	waitJitter = 0.5
 	// unusedGrantTTL is how long a grant that was not used may be used for another request.
 	unusedGrantTTL = time.Second
+	// firstAfterRest is the time from the first request after a rest to the others. An upstream
+	// that still rejects requests does so within it.
+	firstAfterRest = 500 * time.Millisecond
 	// stateTTL is how long the state of a process that is not called is kept.
 	stateTTL = 10 * time.Minute
 	// cleanupInterval is the time between two removals of such states.
@@ -49,6 +55,8 @@
 	defStated = counters.Define("ratelimit_stated", "changes of the rate limits that upstreams state, in responses or as other hosts report")
 	defSent   = counters.Define("ratelimit_sent", "requests sent to upstreams that have stated a rate limit: calls, prompts and streams")
 	defAsked  = counters.Define("ratelimit_asked", "requests to upstreams with a rate limit for which this host asked the granting host, itself included")
+	defRests  = counters.Define("ratelimit_rests", "times that an upstream asked this host for rest, or for more of it")
+	defAtRest = counters.Define("ratelimit_sent_at_rest", "requests that were sent to an upstream while it rested")
 	defDenied = counters.Define("ratelimit_denied", "those that were not granted, because of the limit or as the granting host did not answer")
 )
 
@@ -93,7 +101,11 @@
 	deniedUntil time.Time
 	// unusedUntil is until when a grant that was not used is valid.
 	unusedUntil time.Time
-	bucket      bucket
+	// restUntil is the end of the rest that the upstream asked for. untried means that no
+	// request was sent since, firstUntil is until when only the first one is.
+	restUntil, firstUntil time.Time
+	untried               bool
+	bucket                bucket
 }
 
 // New returns a Limits that knows no limits.
@@ -144,11 +156,70 @@
 	return true
 }
 
+// Rest records that an upstream wants no requests of this host for a while. It does not block.
+func (l *Limits) Rest(up *traffic.Upstream, rest time.Duration) {
+	s := l.state(processOf(up))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	until := now.Add(rest)
+	if !until.After(s.restUntil) {
+		return // What it asked for before still holds.
+	}
+	l.cfg.Counters.Int(defRests).Add(1)
+	if !now.Before(s.restUntil) {
+		klog.InfoS("upstream asks for rest", "process", s.process, "rest", rest)
+	}
+	s.restUntil, s.untried, s.firstUntil = until, true, time.Time{}
+}
+
+// Resting reports whether an upstream wants no requests of this host now.
+func (l *Limits) Resting(up *traffic.Upstream) bool {
+	s := l.lookUp(up)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.restUntil)
+}
+
+// Wait returns the time until an upstream is expected to take a request: the end of its rest, or
+// the mean time between two requests of its rate limit.
+func (l *Limits) Wait(up *traffic.Upstream) time.Duration {
+	s := l.lookUp(up)
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait := max(0, time.Until(s.restUntil))
+	if s.rate > 0 {
+		wait = max(wait, time.Duration(float64(time.Second)/s.rate))
+	}
+	return wait
+}
+
 // Sent counts a request that is sent to an upstream.
 func (l *Limits) Sent(up *traffic.Upstream) {
 	if _, limited := l.Rate(up); limited {
 		l.cfg.Counters.Int(defSent).Add(1)
 	}
+	if l.Resting(up) {
+		l.cfg.Counters.Int(defAtRest).Add(1)
+	}
+}
+
+// Limited reports whether a request to an upstream may have to wait: it states a rate limit or
+// asked for rest.
+func (l *Limits) Limited(up *traffic.Upstream) bool {
+	s := l.lookUp(up)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rate > 0 || s.rests(time.Now())
 }
 
 // Rate returns the rate limit of an upstream in requests a second. limited is false if it
@@ -174,14 +245,31 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastUsed = now
-	if s.rate == 0 {
-		return true
+	if s.rests(now) {
+		return false
+	}
+	left := s.rate == 0 || now.Before(s.unusedUntil)
+	if s.rate > 0 {
+		s.unusedUntil = time.Time{}
+	}
+	if left {
+		s.beginFirst(now)
 	}
-	left := now.Before(s.unusedUntil)
-	s.unusedUntil = time.Time{}
 	return left
 }
 
+// rests reports whether the upstream wants no requests, or the first one after its rest has just
+// been sent. The caller holds the lock.
+func (s *state) rests(now time.Time) bool { return now.Before(s.restUntil) || now.Before(s.firstUntil) }
+
+// beginFirst notes that a request is sent, so that the others wait if it is the first one after a
+// rest. The caller holds the lock.
+func (s *state) beginFirst(now time.Time) {
+	if s.untried {
+		s.untried, s.firstUntil = false, now.Add(firstAfterRest)
+	}
+}
+
 // Prefetch asks for a grant in the background, for the next request. It does not block.
 func (l *Limits) Prefetch(up *traffic.Upstream) {
 	if s := l.lookUp(up); s != nil && s.beginAsking(time.Now()) {
@@ -205,7 +293,7 @@
 func (s *state) beginAsking(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rate == 0 || s.asking || now.Before(s.deniedUntil) || now.Before(s.unusedUntil) {
+	if s.rate == 0 || s.rests(now) || s.asking || now.Before(s.deniedUntil) || now.Before(s.unusedUntil) {
 		return false
 	}
 	s.asking = true
@@ -222,7 +310,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asking = false
-	if !reply.Granted {
+	if reply.Granted {
+		s.beginFirst(time.Now())
+	} else {
 		wait := time.Duration((1 - waitJitter*rand.Float64()) * float64(reply.Wait))
 		s.deniedUntil = time.Now().Add(wait)
 	}
@@ -270,6 +360,9 @@
 	if s.rate > 0 {
 		s.unusedUntil = now.Add(unusedGrantTTL)
 	}
+	if now.Before(s.firstUntil) {
+		s.untried, s.firstUntil = true, time.Time{}
+	}
 }
 
 // Grant implements ports.RatePeer. A host that is not the granting one in its own view
@@ -349,7 +442,7 @@
 func (l *Limits) removeUnused(now time.Time) {
 	for _, s := range l.states.Values() {
 		s.mu.Lock()
-		unused := now.Sub(s.lastUsed) > stateTTL
+		unused := now.Sub(s.lastUsed) > stateTTL && now.After(s.restUntil)
 		s.mu.Unlock()
 		if unused {
 			l.states.Delete(s.process)
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -285,3 +285,57 @@
 		}
 	})
 }
+
+// An upstream that asked for rest gets nothing until the latest end of what it asked for, then one
+// request, and the others only if it does not ask again. A new process owes nothing.
+func TestUpstreamThatAskedForRestGetsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFleet(t.Context(), 1).hosts[0]
+		take := func() bool { return l.TakeReady(limited) || l.Take(t.Context(), limited) }
+		l.Rest(limited, 3*time.Second)
+		l.Rest(limited, time.Second)
+		next := *limited
+		next.StartedAtMillis++
+		if take() || !l.Resting(limited) || !l.Limited(limited) || l.Limited(&next) || !l.TakeReady(&next) {
+			t.Error("sent to during its rest, or another process is not sent to")
+		}
+		if wait := l.Wait(limited); wait != 3*time.Second {
+			t.Errorf("%s to wait, want the longest rest", wait)
+		}
+		time.Sleep(3 * time.Second)
+		if !take() || take() {
+			t.Error("not one request after the rest")
+		}
+		l.GiveBack(limited)
+		if !take() || take() {
+			t.Error("what was not sent is not sent later, or more than it")
+		}
+		l.Rest(limited, time.Second)
+		time.Sleep(time.Second)
+		if !take() || take() {
+			t.Error("not one request after the second rest")
+		}
+		time.Sleep(firstAfterRest)
+		if !take() || !take() || l.Resting(limited) {
+			t.Error("not used again after the first request ran well")
+		}
+	})
+}
+
+// An upstream with a rate limit gets no grants during its rest, and those of its limit afterwards.
+func TestUpstreamWithARateLimitRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFleet(t.Context(), 1).hosts[0]
+		l.Observe(limited, 2, true)
+		l.Rest(limited, 3*time.Second)
+		granted := make(map[bool]int)
+		for began := time.Now(); time.Since(began) < 8*time.Second; time.Sleep(100 * time.Millisecond) {
+			if l.Take(t.Context(), limited) {
+				granted[time.Since(began) < 3*time.Second]++
+			}
+		}
+		if granted[true] > 0 || granted[false] < 5 {
+			t.Errorf("%d granted during the rest, %d after it", granted[true], granted[false])
+		}
+	})
+}
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -155,7 +155,9 @@
 	// ConnectionLost means that the upstream closed or reset the connection before its
 	// response was complete. It did so if its process ended.
 	ConnectionLost bool
-	Err            error
+	// Rests means that the upstream rejected the call because it wants no requests for a while.
+	Rests bool
+	Err   error
 }
 
 // NotDelivered reports whether the request did not reach the intended upstream.
