dispatch: an engine that rejects streams does not look free

Cause: an engine that rejects streams goes on granting reservations, has no streams of its own, and is the cheapest. A rejected stream said nothing about its engine, as it may be due to the memory of one prompt.

Two rejected streams in a row, with none started between them, take the engine out of rotation for 0.5 s, and up to 4 s, as two connections that cannot be opened do.

--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -162,6 +162,7 @@
 		return refusal
 	}
 	n.mayHaveRun, n.lastEngine = true, reservation.Engine
+	t.streamStarted()
 	defer stream.Close()
 	g.countResumption(n, reservation.Engine)
 	klog.InfoS("stream started", "request", n.req.ID, "decode", reservation.Engine.ID, "prefill", prefillEngineID(prompt),
@@ -237,12 +238,14 @@
 	return g.slots.acquire(ctx, n.inFlight)
 }
 
-// openOutcome returns the outcome of a stream that did not start. A rejection may
-// be due to the memory of the prompt, so it says nothing about the engine.
+// openOutcome returns the outcome of a stream that did not start. A single rejection may be due
+// to the memory of the prompt.
 func (g *Gate) openOutcome(ctx context.Context, call *traffic.CallError) outcome {
 	switch {
 	case call.Misdirected:
 		return outcomeReplaced
+	case call.Effect == traffic.EffectRejected && !call.Rests:
+		return outcomeStreamRejected
 	case call.Effect == traffic.EffectRejected, ctx.Err() != nil, errors.Is(call, errEngineLeaving), errors.Is(call, errEngineRests):
 		return outcomeIgnored
 	default:
--- a/dispatch/track.go
+++ b/dispatch/track.go
@@ -16,11 +16,11 @@
 	// outcomeHalfLife is the time after which the averages of an upstream have
 	// halved, so that an upstream that was avoided is tried again.
 	outcomeHalfLife = 4 * time.Second
-	// unhealthyAfterFailures is the number of consecutive connection failures after
-	// which an upstream is taken out of rotation for a while.
+	// unhealthyAfterFailures is the number of consecutive connection failures, or rejected
+	// streams, after which an upstream is taken out of rotation for a while.
 	unhealthyAfterFailures = 2
 	// minOutOfRotation and maxOutOfRotation bound the time that an upstream is out
-	// of rotation. It doubles with each further connection failure.
+	// of rotation. It doubles with each further failure.
 	minOutOfRotation = 500 * time.Millisecond
 	maxOutOfRotation = 4 * time.Second
 	// probeInterval is the time between two probes of an upstream that is out of rotation.
@@ -43,6 +43,8 @@
 	outcomeConnectionFailed
 	// outcomeReplaced is a response of another process at the upstream's address.
 	outcomeReplaced
+	// outcomeStreamRejected is a stream that an engine rejected although it had granted a slot.
+	outcomeStreamRejected
 	// outcomeIgnored says nothing about the upstream, for example a disconnected
 	// caller.
 	outcomeIgnored
@@ -70,6 +72,8 @@
 	// of rotation until unhealthyUntil.
 	connectionFailures int
 	unhealthyUntil     time.Time
+	// rejections counts consecutive rejected streams.
+	rejections int
 	// mustProbe means that it stays so until a connection to it could be opened, which probing
 	// says is being tried.
 	mustProbe, probing bool
@@ -118,6 +122,12 @@
 	if result == outcomeIgnored {
 		return false
 	}
+	if result == outcomeStreamRejected {
+		if t.rejections++; t.rejections >= unhealthyAfterFailures {
+			t.unhealthyUntil = now.Add(outOfRotation(t.rejections))
+		}
+		return false
+	}
 	t.decay(now)
 	failure := 0.0
 	if result != outcomeAnswered {
@@ -137,11 +147,24 @@
 	if t.connectionFailures < unhealthyAfterFailures {
 		return false
 	}
-	t.unhealthyUntil = now.Add(min(maxOutOfRotation, minOutOfRotation<<min(t.connectionFailures-unhealthyAfterFailures, 8)))
+	t.unhealthyUntil = now.Add(outOfRotation(t.connectionFailures))
 	t.mustProbe = true
 	return true
 }
 
+// outOfRotation returns how long an upstream is out of rotation after a number of consecutive
+// failures.
+func outOfRotation(failures int) time.Duration {
+	return min(maxOutOfRotation, minOutOfRotation<<min(failures-unhealthyAfterFailures, 8))
+}
+
+// streamStarted records that the engine accepted a stream.
+func (t *upstreamStats) streamStarted() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rejections = 0
+}
+
 // beginProbe reports whether the upstream is to be probed now. If so, endProbe must be called.
 func (t *upstreamStats) beginProbe(now time.Time) bool {
 	t.mu.Lock()
--- a/platformentry/leave_rest_test.go
+++ b/platformentry/leave_rest_test.go
@@ -51,6 +51,8 @@
 	leaving string
 	trailer bool
 	rest    string
+	// rejects means that they reject requests without a word.
+	rejects bool
 	// ignored means that what they say must change nothing.
 	ignored   bool
 	storeMode platformtest.StoreMode
@@ -91,6 +93,9 @@
 	c.t.Cleanup(w.Close)
 	w.SetFault(func(r *http.Request) platformtest.Fault {
 		c.arrived(w.ID, r)
+		if c.rejects && c.speaks(w.ID) && r.Header.Get(headerTrialSent) != "" {
+			return platformtest.FaultReject
+		}
 		return platformtest.FaultNone
 	})
 	c.d.workers[w.ID] = w
@@ -276,6 +281,7 @@
 		knownred.Errorf(c.t, "upstreams whose word means nothing are not used")
 	}
 	switch {
+	case c.rejects:
 	case c.speakers < c.upstreams && c.failed > 0 && (c.rest == "" || c.failed > c.reached):
 		// A rejection may fail its own request, which must not be sent to a second upstream.
 		knownred.Errorf(c.t, "%d requests failed though other upstreams serve: %q", c.failed, c.failures[:min(len(c.failures), 3)])
@@ -361,3 +367,20 @@
 		t.Errorf("%d requests reached the upstream that leaves", late)
 	}
 }
+
+// A decode engine that rejects streams grants reservations and looks idle. It must not get more
+// than its even share of them.
+func TestEngineThatRejectsStreamsGetsNoMoreThanItsShare(t *testing.T) {
+	for name, path := range map[string]string{"stream": "/draft/", "resumable": "/note/"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			takeTrialSlot(t)
+			defer knownred.Done(t)
+			c := &wordTrialRun{path: path, hosts: 3, upstreams: 4, speakers: 1, rejects: true, ignored: true}
+			c.play(t)
+			if sent := c.answered + c.failed; c.reached > sent/c.upstreams {
+				knownred.Errorf(t, "%d of %d streams reached the engine that rejects them, 1 of %d engines", c.reached, sent, c.upstreams)
+			}
+		})
+	}
+}
