soak: copies of a crashing request from several callers, upstreams that leave or rest

Faults of both matters come in series with the others; after the faults one upstream of each service leaves and one rests, and what reaches them too late is a finding.

--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -173,6 +173,9 @@
 			if r != nil {
 				return r, nil
 			}
+			if result == tryLimited && len(f.sent) >= f.route.MaxAttempts {
+				return nil, fullRefusal()
+			}
 			if result == tryLimited {
 				return nil, p.gate.rateLimitedRefusal(f)
 			}
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -189,12 +189,18 @@
 			"check whether the call took effect before sending it again").WithRan(domain.RanUnknown)
 	case c.notBegun != nil:
 		return c.notBegun
-	case c.rateLimited:
+	case c.rateLimited && len(c.sent) < c.route.MaxAttempts:
 		return g.rateLimitedRefusal(c.inFlight)
 	case c.lastErr == nil:
 		return noUpstreamRefusal(c.service)
 	default:
-		return domain.Refuse(domain.RefusalOverloaded, "the upstreams that were asked are full or out of reach",
-			"try again after the stated time").WithRetryAfter(busyRetryAfter)
+		return fullRefusal()
 	}
 }
+
+// fullRefusal is the refusal of a request that the upstreams rejected to which it may be sent. The
+// caller's next attempt may go to others.
+func fullRefusal() *domain.Refusal {
+	return domain.Refuse(domain.RefusalOverloaded, "the upstreams that were asked are full or out of reach",
+		"try again after the stated time").WithRetryAfter(busyRetryAfter)
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -101,6 +101,8 @@
 		req.Header.Set(wire.HeaderLastEventID, strconv.Itoa(t.last))
 	}
 	sentAt := time.Now()
+	req.Header.Set(headerSoakHost, h.name)
+	req.Header.Set(headerSoakSent, strconv.FormatInt(sentAt.UnixNano(), 10))
 	resp, err := client.Do(req)
 	if err != nil {
 		r.ledger.add(sent{id: id, kind: k, host: h.name})
@@ -109,6 +111,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := readAnswer(resp.Body, k == kindNote && t.last == 0 && strings.HasSuffix(id, "0"))
+	r.words.observe(h.name, resp.Header)
 	s := sent{id: id, kind: k, host: h.name, status: resp.StatusCode}
 	s.promised = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	r.ledger.add(s)
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -20,6 +21,8 @@
 	// crashingGap is the time between two attempts of the caller whose request crashes
 	// workers.
 	crashingGap = 300 * time.Millisecond
+	// crashingCallers is the number of callers that send copies of it in turn.
+	crashingCallers = 3
 	// restartDelay is the time from a crash to the next process of the worker.
 	restartDelay = 600 * time.Millisecond
 	// portWait is how long a worker may wait for its port.
@@ -116,11 +119,17 @@
 	return strings.ReplaceAll(shared, ",", ":500,") + ":500," + own + ":250"
 }
 
+// crashingCaller returns the client of one of the callers that send the requests that crash
+// workers, each with an address of its own.
+func crashingCaller(n int) *http.Client {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 2, byte(n+1))}}
+	return &http.Client{Transport: httplimit.Transport(&http.Transport{DialContext: dialer.DialContext, DisableCompression: true}), Timeout: callerWait}
+}
+
 // crash sends the requests that crash workers to random hosts until the context ends.
 func (r *run) crash(ctx context.Context, c *crasher, draw *rand.Rand) {
-	client := &http.Client{Transport: httplimit.Transport(&http.Transport{DisableCompression: true}), Timeout: callerWait}
-	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
+		client := crashingCaller(i % crashingCallers)
 		h := r.hosts[draw.IntN(len(r.hosts))]
 		path, body, id := c.path, "the same body", fmt.Sprintf("%016x", c.ids<<32+uint64(i))
 		if c.parts != "" {
@@ -141,6 +150,7 @@
 		if resp, err := client.Do(req); err == nil {
 			_ = resp.Body.Close()
 		}
+		client.CloseIdleConnections()
 		select {
 		case <-ctx.Done():
 		case <-time.After(crashingGap):
@@ -152,6 +162,7 @@
 func (r *run) addWorker(w *platformtest.Worker) {
 	w.SetStream(streamEvents, 15*time.Millisecond)
 	w.SetCrashOn(r.crashOn)
+	w.OnArrival(r.words.arrived)
 	w.OnCrash(func() { r.workerEnded(w) })
 	w.Register(r.store, "ready")
 	r.mu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -23,7 +23,7 @@
 	kinds := []func(time.Duration){
 		r.killHost, r.pauseHost, r.stopHost, r.hangUp, r.breakLink, r.breakLink,
 		r.breakStore, r.forget, r.change, r.change, r.breakWorker, r.breakWorker, r.drainWorker, r.limitWorker, r.restoreStore,
-		r.cutHost, r.cutHost, r.replaceWorker,
+		r.cutHost, r.cutHost, r.replaceWorker, r.leaveWorker, r.restWorker, r.restWorker,
 	}
 	for end := time.Now().Add(r.options.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		time.Sleep(time.Duration(r.draw.Int64N(int64(2 * faultGap))))
--- a/soak/run.go
+++ b/soak/run.go
@@ -70,6 +70,7 @@
 
 	limits limits
 	cut    cut
+	words  words
 	// healed is when the last fault ended, in Unix nanoseconds, or 0.
 	healed atomic.Int64
 
@@ -86,7 +87,7 @@
 // Run plays one run.
 func Run(ctx context.Context, options Options) (Report, error) {
 	r := &run{
-		options: options, ledger: newLedger(), versions: make(map[string]int),
+		options: options, ledger: newLedger(), words: newWords(), versions: make(map[string]int),
 		draw: rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 	r.crashingRequest, r.crashingPart = newCrashers(rand.New(rand.NewPCG(options.Seed, crashDraw)))
@@ -107,6 +108,7 @@
 	r.healed.Store(lastFault.UnixNano())
 	r.heal()
 	r.stateLimits()
+	r.speak()
 	time.Sleep(settle)
 	r.checkMemory()
 	r.cutHosts()
@@ -116,6 +118,7 @@
 	r.ledger.check(r.runsOf)
 	r.checkCrashes(lastFault)
 	r.checkLimits()
+	r.checkWords()
 	r.checkCut()
 	byRequest, _ := r.crashingRequest.count(lastFault)
 	byPart, _ := r.crashingPart.count(lastFault)
@@ -139,7 +142,11 @@
 		platformtest.NewWorker("v0-1", "v0", "z-a", ""), platformtest.NewWorker("v0-2", "v0", "z-b", ""),
 		platformtest.NewWorker("v1-1", "v1", "z-a", ""), platformtest.NewWorker("v1-2", "v1", "z-b", ""),
 		platformtest.NewWorker("v2-1", "v2", "z-a", ""), platformtest.NewWorker("v2-2", "v2", "z-b", ""),
+		platformtest.NewWorker("v0-3", "v0", "z-a", ""), platformtest.NewWorker("v0-4", "v0", "z-b", ""),
+		platformtest.NewWorker("v1-3", "v1", "z-a", ""), platformtest.NewWorker("v1-4", "v1", "z-b", ""),
+		platformtest.NewWorker("v2-3", "v2", "z-a", ""), platformtest.NewWorker("v2-4", "v2", "z-b", ""),
 		platformtest.NewWorker("pre-1", "models", "z-a", "prefill"), platformtest.NewWorker("pre-2", "models", "z-b", "prefill"),
+		platformtest.NewWorker("pre-3", "models", "z-a", "prefill"), platformtest.NewWorker("pre-4", "models", "z-b", "prefill"),
 		platformtest.NewWorker("dec-1", "models", "z-a", "decode"), platformtest.NewWorker("dec-2", "models", "z-b", "decode"),
 		platformtest.NewWorker("dec-3", "models", "z-a", "decode"), platformtest.NewWorker("dec-4", "models", "z-b", "decode"),
 	} {
