dispatch: a crash counts against requests that were given up just before it

Cause: a crash was seen only by requests that were waiting when the connection broke.

For two seconds an upstream's last sixteen requests that were given up are kept. If its process is found to have ended, by another request's lost connection or by a refused one, they get the strike too. TestCrashAfterARequestWasGivenUpCounts fails with this taken out.

--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -20,6 +20,7 @@
 	defCall                 = counters.Define("dispatch_call_ms", "duration of a plain call to its upstream, in milliseconds")
 	defConnectionsLost      = counters.Define("dispatch_connections_lost", "calls that failed because the upstream closed or reset the connection")
 	defCrashes              = counters.Define("dispatch_crashes", "calls during which the process of the upstream ended unplanned")
+	defCrashesAbandoned     = counters.Define("dispatch_crashes_abandoned", "requests that had been given up shortly before the process of their upstream ended unplanned")
 	defCrashesUnknown       = counters.Define("dispatch_crashes_unknown", "lost connections to an upstream that could not be asked whether it crashed")
 	defIsolated             = counters.Define("dispatch_isolated", "attempts that waited for their turn because one more crash would quarantine the request")
 	defRateLimited          = counters.Define("dispatch_rate_limited", "requests that were rejected because all upstreams were at the rate limits that they state")
@@ -37,7 +38,7 @@
 type metrics struct {
 	refused, answered, retried, streamsBroken, disconnected,
 	reservations, reservationsRejected, prefillsWasted, prefillBusy,
-	connectionsLost, crashes, crashesUnknown, isolated, rateLimited,
+	connectionsLost, crashes, crashesAbandoned, crashesUnknown, isolated, rateLimited,
 	streamsTakenUp, streamsResumed, streamsOtherVersion, versionsGone,
 	notReached, silent, passedOn, hopsFailed *expvar.Int
 	slotWait, prefill, call *counters.Histogram
@@ -49,7 +50,7 @@
 		streamsBroken: set.Int(defStreamsBroken), disconnected: set.Int(defDisconnected),
 		reservations: set.Int(defReservations), reservationsRejected: set.Int(defReservationsRejected), prefillsWasted: set.Int(defPrefillWasted),
 		prefillBusy: set.Int(defPrefillBusy), connectionsLost: set.Int(defConnectionsLost),
-		crashes: set.Int(defCrashes), crashesUnknown: set.Int(defCrashesUnknown), isolated: set.Int(defIsolated), rateLimited: set.Int(defRateLimited),
+		crashes: set.Int(defCrashes), crashesAbandoned: set.Int(defCrashesAbandoned), crashesUnknown: set.Int(defCrashesUnknown), isolated: set.Int(defIsolated), rateLimited: set.Int(defRateLimited),
 		streamsTakenUp: set.Int(defStreamsTakenUp), streamsResumed: set.Int(defStreamsResumed), streamsOtherVersion: set.Int(defStreamsOtherVersion),
 		versionsGone: set.Int(defVersionsGone), notReached: set.Int(defNotReached), silent: set.Int(defSilent),
 		passedOn: set.Int(defPassedOn), hopsFailed: set.Int(defHopsFailed),
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/connloss"
 	"greengagespoke/traffic"
 )
 
@@ -29,19 +31,34 @@
 }
 
 // observeFailure counts a call that failed because its connection was lost, and finds out
-// whether the upstream's process has ended. If so, the request gets a strike. A leaving
-// upstream closes its connections as planned, so its end is no crash.
+// whether the upstream's process has ended. If so, the request gets a strike, and so do those that
+// were given up shortly before, as the upstream may still have run them. A leaving upstream closes
+// its connections as planned, so its end is no crash.
 func (g *Gate) observeFailure(ctx context.Context, f *inFlight, up *traffic.Upstream, call *traffic.CallError) {
 	g.countFailure(call)
-	if !call.ConnectionLost {
+	t := g.stats.forUpstream(up)
+	if call.Effect == traffic.EffectUnknown && !call.ConnectionLost {
+		t.abandon(f, time.Now())
+	}
+	if call.ConnectionLost {
+		g.metrics.connectionsLost.Add(1)
+	} else if call.Effect != traffic.EffectNotSent || !connloss.Refused(call) || !t.hasAbandoned(time.Now()) {
 		return
 	}
-	g.metrics.connectionsLost.Add(1)
 	if !g.cfg.Catalog.Current(up) || !g.crashed(ctx, f, up) {
 		return
 	}
+	upstream := domain.UpstreamID(up.Incarnation().String())
+	for _, a := range t.takeAbandoned(time.Now()) {
+		g.metrics.crashesAbandoned.Add(1)
+		g.cfg.Quarantine.RecordCrash(g.cfg.Quarantine.Process(upstream, a.sentAt), []uint64{a.fingerprint}, a.parts...)
+		klog.InfoS("upstream crashed after a request to it was given up", "fingerprint", a.fingerprint, "upstream", up.ID)
+	}
+	if !call.ConnectionLost {
+		return
+	}
 	g.metrics.crashes.Add(1)
-	process := g.cfg.Quarantine.Process(domain.UpstreamID(up.Incarnation().String()), f.sentAt)
+	process := g.cfg.Quarantine.Process(upstream, f.sentAt)
 	g.cfg.Quarantine.RecordCrash(process, []uint64{f.req.Fingerprint}, f.parts...)
 	klog.InfoS("upstream crashed while it had a request", "request", f.req.ID, "fingerprint", f.req.Fingerprint,
 		"parts", f.parts[:min(len(f.parts), maxLoggedParts)], "upstreams_used", len(f.sent),
@@ -82,3 +99,41 @@
 	t.crashed = !listening && g.cfg.Reach.Ended(ctx, up)
 	return t.crashed
 }
+
+const (
+	// abandonedTTL is how long after it was given up a request may have crashed its upstream.
+	abandonedTTL = 2 * time.Second
+	// maxAbandoned bounds the requests that were given up of which it is kept for an upstream.
+	maxAbandoned = 16
+)
+
+// abandonedCall is a request that was given up while its upstream had it.
+type abandonedCall struct {
+	fingerprint uint64
+	parts       []uint64
+	sentAt, at  time.Time
+}
+
+// abandon notes that a request was given up.
+func (t *upstreamStats) abandon(f *inFlight, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.abandoned = append(t.abandoned, abandonedCall{fingerprint: f.req.Fingerprint, parts: f.parts, sentAt: f.sentAt, at: now})
+	t.abandoned = t.abandoned[max(0, len(t.abandoned)-maxAbandoned):]
+}
+
+// hasAbandoned reports whether a request was given up lately.
+func (t *upstreamStats) hasAbandoned(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.abandoned) > 0 && now.Sub(t.abandoned[len(t.abandoned)-1].at) <= abandonedTTL
+}
+
+// takeAbandoned removes the requests that were given up, and returns those of lately.
+func (t *upstreamStats) takeAbandoned(now time.Time) []abandonedCall {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	lately := slices.DeleteFunc(t.abandoned, func(a abandonedCall) bool { return now.Sub(a.at) > abandonedTTL })
+	t.abandoned = nil
+	return lately
+}
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -344,3 +345,30 @@
 		}
 	})
 }
+
+// A request that was given up before its upstream crashed must get a strike for it, also if no
+// other request was there: the next connection to the upstream is refused.
+func TestCrashAfterARequestWasGivenUpCounts(t *testing.T) {
+	for _, crashes := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.listening = func(*traffic.Upstream) (bool, error) { return !crashes, nil }
+			f.call = func(*traffic.Upstream) (*traffic.Answer, error) { return nil, errNoResponse }
+			req := newRequest("/again/x")
+			req.Fingerprint, req.Deadline = 7, req.Arrived.Add(500*time.Millisecond)
+			f.gate.Serve(context.Background(), req, &fakeCaller{})
+			f.call = func(*traffic.Upstream) (*traffic.Answer, error) {
+				return nil, &traffic.CallError{Effect: traffic.EffectNotSent, Err: syscall.ECONNREFUSED}
+			}
+			other := newRequest("/again/x")
+			other.Fingerprint = 8
+			f.gate.Serve(context.Background(), other, &fakeCaller{})
+			if got := len(f.gate.cfg.Quarantine.CrashedUpstreams(7)) == 2; got != crashes {
+				t.Errorf("crashes: %t; strikes %v", crashes, f.gate.cfg.Quarantine.CrashedUpstreams(7))
+			}
+			if f.gate.cfg.Quarantine.Suspect(8) {
+				t.Error("a request that was not sent got a strike")
+			}
+		})
+	}
+}
--- a/dispatch/track.go
+++ b/dispatch/track.go
@@ -74,6 +74,8 @@
 	unhealthyUntil     time.Time
 	// rejections counts consecutive rejected streams.
 	rejections int
+	// abandoned holds the requests that were given up lately while the upstream had them.
+	abandoned []abandonedCall
 	// mustProbe means that it stays so until a connection to it could be opened, which probing
 	// says is being tried.
 	mustProbe, probing bool
