--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -356,8 +356,10 @@
 		klog.InfoS("suspect completed", "fingerprint", of.fingerprint, "part", of.part, "strikes", len(r.strikes))
 	}
 	l.mustJudge = l.mustJudge || len(r.strikes) >= l.cfg.StrikeLimit || r.crashes() > l.cfg.StrikeLimit
-	r.clear(completedAt)
-	if of.part && len(r.strikes) == 0 {
+	cleared := r.clear(completedAt)
+	if !of.part {
+		r.cleared, r.completions = cleared, 1
+	} else if len(r.strikes) == 0 {
 		l.remove(of)
 	}
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -86,16 +86,17 @@
 	return true
 }
 
-// clear clears the strikes until a completion.
-func (r *record) clear(completedAt time.Time) {
-	isCleared := func(s strike) bool { return !s.crashedAt.After(completedAt) }
-	for _, s := range r.strikes {
-		if isCleared(s) {
-			r.cleared = append(r.cleared, s)
+// clear clears the strikes until a completion, and returns them.
+func (r *record) clear(completedAt time.Time) []strike {
+	var cleared []strike
+	r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool {
+		isCleared := !s.crashedAt.After(completedAt)
+		if isCleared {
+			cleared = append(cleared, s)
 		}
-	}
-	r.strikes = slices.DeleteFunc(r.strikes, isCleared)
-	r.completions = 1
+		return isCleared
+	})
+	return cleared
 }
 
 // completedBefore reports whether a request with strikes has completed before.
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -58,12 +59,10 @@
 
 // unsentCompletions returns the completions for the next message.
 func (l *List) unsentCompletions(now time.Time) []ports.Strike {
+	unsent := slices.SortedFunc(maps.Keys(l.unsent.Entries), func(a, b subject) int { return cmp.Compare(a.fingerprint, b.fingerprint) })
 	var out []ports.Strike
-	for of, left := range l.unsent.Entries {
-		if len(out) >= maxCompletionsPerMessage {
-			break
-		}
-		if l.unsent.Entries[of] = left - 1; left <= 1 {
+	for _, of := range unsent[:min(len(unsent), maxCompletionsPerMessage)] {
+		if l.unsent.Entries[of]--; l.unsent.Entries[of] <= 0 {
 			l.unsent.Remove(of)
 		}
 		out = append(out, ports.Strike{Fingerprint: of.fingerprint, Part: of.part, Age: now.Sub(l.completions(of).Entries[of])})
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -316,8 +316,10 @@
 			t.Error("not one request after the second rest")
 		}
 		time.Sleep(firstAfterRest)
-		if !take() || !take() || l.Resting(limited) {
-			t.Error("not used again after the first request ran well")
+		for range 2 {
+			if !take() || l.Resting(limited) {
+				t.Error("not used again after the first request ran well")
+			}
 		}
 	})
 }
