--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,8 @@
 	1,
 	// 2: a place of a killed host was counted as kept; reservations lapse.
 	2,
+	// 9000: a request that its only upstream rejected with a rest was refused for rate limits.
+	9000,
 }
 
 func TestSeeds(t *testing.T) {
