--- a/platformentry/leave_rest_test.go
+++ b/platformentry/leave_rest_test.go
@@ -78,16 +78,7 @@
 // trialLink is a host and an upstream.
 type trialLink struct{ host, upstream string }
 
-func (c *wordTrialRun) kind() (service, stage, prefix string) {
-	switch {
-	case c.prefill:
-		return "models", "prefill", "pre"
-	case strings.HasPrefix(c.path, "/draft/") || strings.HasPrefix(c.path, "/note/"):
-		return "models", "decode", "dec"
-	default:
-		return "ledger", "", "led"
-	}
-}
+func (c *wordTrialRun) kind() (service, stage, prefix string) { return upstreamsOf(c.path, c.prefill) }
 
 func (c *wordTrialRun) addWorker(w *platformtest.Worker) {
 	c.t.Cleanup(w.Close)
--- a/platformentry/rate_limit_test.go
+++ b/platformentry/rate_limit_test.go
@@ -68,10 +68,16 @@
 }
 
 func (c *rateTrialRun) limited() (service, stage, prefix string) {
+	return upstreamsOf(c.path, c.prefill)
+}
+
+// upstreamsOf returns the service and the stage of the upstreams that run the requests of a path, or
+// read their prompts, and the start of their identifiers.
+func upstreamsOf(path string, prefill bool) (service, stage, prefix string) {
 	switch {
-	case c.prefill:
+	case prefill:
 		return "models", "prefill", "pre"
-	case strings.HasPrefix(c.path, "/draft/") || strings.HasPrefix(c.path, "/note/"):
+	case strings.HasPrefix(path, "/draft/") || strings.HasPrefix(path, "/note/"):
 		return "models", "decode", "dec"
 	default:
 		return "ledger", "", "led"
