platformentry, dispatch: how soon an upstream is used after its rest is checked under virtual time

TestUpstreamsThatAskForRestGetIt/prefill failed once in eight plays: "pre-0 was not used again within 2s after its rest". Prefill engines of the stand-ins take no time for a prompt, so one that has rested need not be used again where two others serve. The trial now lets the others rest once the rest is over, so that it must be used. That it is used at once is checked where time is virtual: in TestUpstreamIsUsedAgainRightAfterItsRest, which fails if its rejections count against its health, 0 of ten requests instead of some.

--- a/dispatch/ratelimit_test.go
+++ b/dispatch/ratelimit_test.go
@@ -171,3 +171,31 @@
 		}
 	})
 }
+
+// An upstream that asked for rest is used again as soon as its rest is over: its rejections say
+// nothing of its health.
+func TestUpstreamIsUsedAgainRightAfterItsRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rest = 3 * time.Second
+		f := newFixture(t, 1)
+		began := time.Now()
+		f.call = func(up *traffic.Upstream) (*traffic.Answer, error) {
+			if up.ID == "p1" && time.Since(began) < rest {
+				f.gate.cfg.RateLimits.Rest(up, rest-time.Since(began))
+				return nil, &traffic.CallError{Effect: traffic.EffectRejected, Rests: true, Err: errRejected}
+			}
+			time.Sleep(20 * time.Millisecond)
+			return &traffic.Answer{Status: 200}, nil
+		}
+		for time.Since(began) < rest {
+			f.serve("/again/x", &fakeCaller{})
+		}
+		during := f.count("call p1")
+		for range 10 {
+			f.serve("/again/x", &fakeCaller{})
+		}
+		if during != 1 || f.count("call p1") == during {
+			t.Errorf("%d requests sent before the end of the rest, %d in ten afterwards", during, f.count("call p1")-during)
+		}
+	})
+}
--- a/platformentry/leave_rest_test.go
+++ b/platformentry/leave_rest_test.go
@@ -29,11 +29,6 @@
 	restTime = 3 * time.Second
 	// wordTrial is how long requests are sent after the first word of an upstream.
 	wordTrial = drainTime + 3*time.Second
-	// maxReturnTime is the time after the end of a rest in which an upstream is used again.
-	maxReturnTime = 2 * time.Second
-	// returnCallers is the number of callers at each host by then, more than one upstream
-	// serves without delay.
-	returnCallers = 10
 )
 
 // wordTrialRun sends requests to hosts while some upstreams say that they leave, or reject all
@@ -71,8 +66,10 @@
 	late, reached    int
 	returned         map[string]time.Time
 	answered, failed int
-	failures         []string
-	slowestRefusal   time.Duration
+	// failedBefore is the number of those that failed before checkReturn.
+	failedBefore   int
+	failures       []string
+	slowestRefusal time.Duration
 }
 
 // trialLink is a host and an upstream.
@@ -221,43 +218,34 @@
 	time.Sleep(20 * time.Millisecond)
 }
 
-// checkReturn checks that upstreams that no longer ask for rest are used again.
+// checkReturn checks that upstreams that no longer ask for rest are used again once it is over: the
+// others ask for rest then.
 func (c *wordTrialRun) checkReturn(hosts []*host) {
+	c.mu.Lock()
+	c.restEnded, c.failedBefore = true, c.failed
+	c.mu.Unlock()
 	if c.rest == "" || c.ignored {
 		return
 	}
 	_, _, prefix := c.kind()
-	c.mu.Lock()
-	c.restEnded = true
-	c.mu.Unlock()
 	var speakers []*platformtest.Worker
+	before := make(map[string]int)
 	for i := range c.speakers {
 		w := c.d.workers[fmt.Sprintf("%s-%d", prefix, i)]
 		w.SetRest("")
-		w.SetLatency(20 * time.Millisecond)
 		speakers = append(speakers, w)
-	}
-	ended := time.Now()
-	before := make(map[string]int)
-	for _, w := range speakers {
 		before[w.ID] = len(w.Arrivals())
 	}
-	var callers sync.WaitGroup
-	for i, h := range hosts {
-		for range returnCallers {
-			callers.Go(func() {
-				for time.Since(ended) < restTime+maxReturnTime {
-					c.send(h, i)
-				}
-			})
-		}
+	time.Sleep(restTime)
+	for i := c.speakers; i < c.upstreams; i++ {
+		c.d.workers[fmt.Sprintf("%s-%d", prefix, i)].SetRest("60")
 	}
-	callers.Wait()
-	for _, w := range speakers {
-		if len(w.Arrivals()) == before[w.ID] {
-			knownred.Errorf(c.t, "%s was not used again within %s after its rest", w.ID, maxReturnTime)
+	c.d.waitFor("all upstreams used again after their rest", func() bool {
+		for i, h := range hosts {
+			c.send(h, i)
 		}
-	}
+		return !slices.ContainsFunc(speakers, func(w *platformtest.Worker) bool { return len(w.Arrivals()) == before[w.ID] })
+	})
 }
 
 func (c *wordTrialRun) report() {
@@ -273,9 +261,9 @@
 	}
 	switch {
 	case c.rejects:
-	case c.speakers < c.upstreams && c.failed > 0 && (c.rest == "" || c.failed > c.reached):
+	case c.speakers < c.upstreams && c.failedBefore > 0 && (c.rest == "" || c.failedBefore > c.reached):
 		// A rejection may fail its own request, which must not be sent to a second upstream.
-		knownred.Errorf(c.t, "%d requests failed though other upstreams serve: %q", c.failed, c.failures[:min(len(c.failures), 3)])
+		knownred.Errorf(c.t, "%d requests failed though other upstreams serve: %q", c.failedBefore, c.failures[:min(len(c.failures), 3)])
 	case c.speakers == c.upstreams && c.slowestRefusal > maxRefusalDelay:
 		knownred.Errorf(c.t, "a request was held for %s though no upstream takes any", c.slowestRefusal)
 	}
