dispatch, eventstream: a stream goes on with nothing but its events

Cause: what an engine sent after the head of a 200 was passed on as events up to each empty line, whatever it was. After a stream had broken off, the next attempt could bring the head and text of an error, events of another stream, events without ids or nothing at all, and the end of that response ended the caller's stream as complete. Other hosts' streams were taken in the same way, and only if their content type had no parameter.

Anything else is a broken attempt: counted, logged with request, engine and reason, and the engine is not asked to go on with the stream. A response without any event completes nothing. Legal forms (comments, retry, CR, a byte order mark, unknown words) pass as they came.

--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -26,6 +26,7 @@
 	defRateLimited          = counters.Define("dispatch_rate_limited", "requests that were rejected because all upstreams were at the rate limits that they state")
 	defStreamsTakenUp       = counters.Define("dispatch_streams_taken_up", "requests of callers that take up a stream after its last event")
 	defStreamsResumed       = counters.Define("dispatch_streams_resumed", "streams that went on at an engine within the same response")
+	defStreamsMalformed     = counters.Define("dispatch_streams_malformed", "attempts whose response was not the stream of events that was expected")
 	defStreamsOtherVersion  = counters.Define("dispatch_streams_other_version", "those that went on at another software version than the one that began them")
 	defVersionsGone         = counters.Define("dispatch_versions_gone", "streams that could not go on because no engine of the software version that began them took work")
 	defNotReached           = counters.Define("dispatch_not_reached", "calls, reservations and streams that were not sent, as no connection to the upstream was opened")
@@ -41,7 +42,7 @@
 	refused, answered, retried, streamsBroken, disconnected,
 	reservations, reservationsRejected, prefillsWasted, prefillBusy,
 	connectionsLost, crashes, crashesAbandoned, crashesUnknown, isolated, rateLimited,
-	streamsTakenUp, streamsResumed, streamsOtherVersion, versionsGone,
+	streamsTakenUp, streamsResumed, streamsMalformed, streamsOtherVersion, versionsGone,
 	notReached, silent, passedOn, hopsFailed, hopsGivenUp, forgotten *expvar.Int
 	slotWait, prefill, call *counters.Histogram
 }
@@ -53,7 +54,7 @@
 		reservations: set.Int(defReservations), reservationsRejected: set.Int(defReservationsRejected), prefillsWasted: set.Int(defPrefillWasted),
 		prefillBusy: set.Int(defPrefillBusy), connectionsLost: set.Int(defConnectionsLost),
 		crashes: set.Int(defCrashes), crashesAbandoned: set.Int(defCrashesAbandoned), crashesUnknown: set.Int(defCrashesUnknown), isolated: set.Int(defIsolated), rateLimited: set.Int(defRateLimited),
-		streamsTakenUp: set.Int(defStreamsTakenUp), streamsResumed: set.Int(defStreamsResumed), streamsOtherVersion: set.Int(defStreamsOtherVersion),
+		streamsTakenUp: set.Int(defStreamsTakenUp), streamsResumed: set.Int(defStreamsResumed), streamsMalformed: set.Int(defStreamsMalformed), streamsOtherVersion: set.Int(defStreamsOtherVersion),
 		versionsGone: set.Int(defVersionsGone), notReached: set.Int(defNotReached), silent: set.Int(defSilent),
 		passedOn: set.Int(defPassedOn), hopsFailed: set.Int(defHopsFailed), hopsGivenUp: set.Int(defHopsGivenUp), forgotten: set.Int(defForgotten),
 		slotWait: set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
--- a/dispatch/crashes_test.go
+++ b/dispatch/crashes_test.go
@@ -77,8 +77,8 @@
 		f.catalog.Change([]traffic.UpstreamChange{{ID: up.ID, Upstream: &next}}, time.Now())
 	}
 	f.call = func(*traffic.Upstream) (*traffic.Answer, error) { return nil, errConnectionLost }
-	f.fakeUpstreams.stream = func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) {
-		return newFakeStream(2, errConnectionLost), nil
+	f.fakeUpstreams.stream = func(_ *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error) {
+		return newFakeStreamAfter(opts.LastEventID, 2, errConnectionLost), nil
 	}
 	f.listening = func(up *traffic.Upstream) (bool, error) {
 		replace(up)
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -58,8 +59,8 @@
 		reserveIdle: func(*traffic.Upstream, int) error { return nil },
 		prefill:     func(*traffic.Upstream) error { return nil },
 		listening:   func(*traffic.Upstream) (bool, error) { return true, nil },
-		stream: func(*traffic.Upstream, traffic.SendOptions) (traffic.Stream, error) {
-			return newFakeStream(3, nil), nil
+		stream: func(_ *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error) {
+			return newFakeStreamAfter(opts.LastEventID, 3, nil), nil
 		},
 	}
 }
@@ -158,6 +159,12 @@
 	return &fakeStream{next: 1, last: events, end: end}
 }
 
+// newFakeStreamAfter returns a stream of some events that goes on after the event with the ID last.
+func newFakeStreamAfter(last string, events int, end error) *fakeStream {
+	n, _ := strconv.Atoi(last)
+	return &fakeStream{next: n + 1, last: n + events, end: end}
+}
+
 func (s *fakeStream) Head() any { return nil }
 
 func (s *fakeStream) Next(time.Duration) (traffic.Event, error) {
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/eventstream"
 	"greengagespoke/internal/pause"
 	"greengagespoke/traffic"
 )
@@ -205,7 +206,7 @@
 	}
 	if call.Effect == traffic.EffectUnknown {
 		n.mayHaveRun = true
-		n.breaks[reservation.Engine.Incarnation()]++
+		g.countBreak(n, reservation.Engine, call)
 	}
 	result := g.openOutcome(ctx, call)
 	if ctx.Err() != nil {
@@ -236,11 +237,21 @@
 			"events", n.eventsSent, "lost", call.ConnectionLost, "err", err)
 		g.observeFailure(ctx, n.inFlight, reservation.Engine, call)
 		n.slotNeededSince = time.Now()
-		n.breaks[reservation.Engine.Incarnation()]++
+		g.countBreak(n, reservation.Engine, err)
 		return outcomeConnectionFailed, n.failedRefusal("the stream of " + string(reservation.Engine.ID) + " broke")
 	}
 }
 
+// countBreak counts a stream that broke at an engine. One whose response was not the stream is
+// not asked to go on with it.
+func (g *Gate) countBreak(n *generation, engine *traffic.Upstream, err error) {
+	n.breaks[engine.Incarnation()]++
+	if errors.Is(err, eventstream.ErrMalformed) {
+		g.metrics.streamsMalformed.Add(1)
+		n.breaks[engine.Incarnation()] += maxBreaksAtEngine
+	}
+}
+
 // reserveSlot reserves a slot. A broken stream is resumed on the same engine if
 // that engine still takes new work and grants a slot, because it has the prompt.
 func (g *Gate) reserveSlot(ctx context.Context, n *generation) (*traffic.Reservation, *domain.Refusal) {
@@ -416,21 +427,19 @@
 // relayEvents passes the events on to the caller until the stream ends. It returns
 // nil if the stream is complete.
 func (g *Gate) relayEvents(ctx context.Context, n *generation, stream traffic.Stream) error {
+	events := sequence{last: n.lastEventID}
 	for {
 		wait := time.Until(n.answerDeadline)
 		if n.route.Resumable {
 			wait = min(wait, streamSilenceTimeout)
 		}
-		event, err := stream.Next(wait)
+		event, err := events.next(stream, wait)
 		if errors.Is(err, io.EOF) && stream.Unframed() {
 			if err := g.checkUnframedEnd(ctx, n.inFlight, n.lastEngine); err != nil {
 				return err
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if !n.headSent {
-				n.sendHead(stream)
-			}
 			return nil
 		}
 		if err != nil {
@@ -448,8 +457,8 @@
 			g.metrics.disconnected.Add(1)
 			return errCallerDisconnected
 		}
-		n.eventsSent++
 		if event.ID != "" {
+			n.eventsSent++
 			n.lastEventID = event.ID
 		}
 	}
--- a/dispatch/hop.go
+++ b/dispatch/hop.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/eventstream"
 	"greengagespoke/internal/pause"
 	"greengagespoke/traffic"
 )
@@ -267,21 +268,28 @@
 // relayHop passes the events of another host's stream on to the caller.
 func (g *Gate) relayHop(ctx context.Context, h *hop, stream traffic.Stream) (done bool, err error) {
 	defer stream.Close()
+	events := sequence{last: cmp.Or(h.opts.LastEventID, h.req.LastEventID)}
 	for {
-		event, err := stream.Next(time.Until(h.answerDeadline))
+		event, err := events.next(stream, time.Until(h.answerDeadline))
+		if errors.Is(err, io.EOF) && stream.Unframed() {
+			return false, &traffic.CallError{Effect: traffic.EffectUnknown, Err: errUnframedHop}
+		}
+		if errors.Is(err, eventstream.ErrMalformed) {
+			g.metrics.streamsMalformed.Add(1)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return false, err
 		}
 		if ctx.Err() != nil {
 			return false, ctx.Err()
 		}
+		if err != nil {
+			return true, nil
+		}
 		if !h.headSent {
 			h.headSent = true
 			h.caller.Start(stream.Head())
 		}
-		if err != nil {
-			return true, nil
-		}
 		if err := h.caller.Event(event); err != nil {
 			g.metrics.disconnected.Add(1)
 			return true, nil
@@ -292,6 +300,9 @@
 	}
 }
 
+// errUnframedHop means that the end of a stream of another host does not say whether it is whole.
+var errUnframedHop = errors.New("the stream of the other host has no length and may have ended early")
+
 // goOnAfter lets the next host go on after an event of the stream.
 func (h *hop) goOnAfter(eventID string) {
 	h.opts.LastEventID, h.opts.Resumes = eventID, h.req.ID
--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/eventstream"
 	"greengagespoke/ports"
 	"greengagespoke/traffic"
 )
@@ -39,6 +40,9 @@
 	if !f.route.Resumable {
 		return notResumableRefusal("streams of this route cannot be taken up")
 	}
+	if err := eventstream.CheckID(f.req.LastEventID); err != nil {
+		return notResumableRefusal("the last event that the caller names is not one of a stream")
+	}
 	query := ports.OriginQuery{Request: f.req.Resumes, Fingerprint: f.req.CallerFingerprint}
 	origin, known := g.cfg.Origins.Of(ctx, query)
 	if !known {
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -113,8 +113,9 @@
 
 // Event is a complete event of a stream.
 type Event struct {
-	// ID is the event's number, or empty if it has none.
-	ID  string
+	// ID is the event's number. It is empty for comments behind the last event.
+	ID string
+	// Raw is the event as it came, with the comments before it.
 	Raw []byte
 }
 
