platformentry: engines of the crash trials send an event

Cause: the fixture's engines answered with streams of no events where a trial set none, and the trial waits until a stream is served. A response without an event completes no stream since, and no engine of the platform sends one. Result: TestPolledRequestIsServedAfterAllUpstreamsEnded passes again; its checks are as they were.

--- a/platformentry/crash_test.go
+++ b/platformentry/crash_test.go
@@ -139,7 +139,7 @@
 	c.mu.Lock()
 	c.workers = append(c.workers, w)
 	c.mu.Unlock()
-	w.SetStream(c.events, c.pause)
+	w.SetStream(max(1, c.events), c.pause) // A generation has an event at least.
 	w.SetLatency(c.latency)
 	w.SetFault(func(r *http.Request) platformtest.Fault { return c.fault(w, r) })
 	w.OnCrash(func() {
