--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -38,8 +37,9 @@
 	firstEventLatency = 250 * time.Millisecond
 	// maxWaitTargets is how long a request waits for a slot, in multiples of its
 	// route's target latency. Callers disconnect from a stream that is silent for
-	// four.
-	maxWaitTargets = 2
+	// four, so that one is left to have the prompt prefilled. Callers who are refused
+	// come back later than most bursts end.
+	maxWaitTargets = 3
 	// defaultTarget is the target latency of a route that sets none.
 	defaultTarget = time.Second
 	// overloadRetryAfter is the retry delay reported if no slot became free. Bursts
@@ -114,28 +114,12 @@
 
 // waiter is one request that waits for a slot.
 type waiter struct {
-	arrived time.Time
-	line    line
-	// onTimeUntil is until when the request can still meet its target latency. The
-	// request is late afterwards.
-	onTimeUntil time.Time
+	turn
+	line line
 	// wake is signalled when the request may have become the first of the queue.
 	wake chan struct{}
 }
 
-// compare orders the queue: requests that can still be on time come first, then
-// the order is by arrival.
-func (w *waiter) compare(other *waiter, now time.Time) int {
-	late, otherLate := now.After(w.onTimeUntil), now.After(other.onTimeUntil)
-	if late != otherLate {
-		if late {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Compare(w.arrived.UnixNano(), other.arrived.UnixNano())
-}
-
 // acquire waits for a slot and reserves it, or returns a refusal.
 func (p *slotReserver) acquire(ctx context.Context, f *inFlight) (*traffic.Reservation, *domain.Refusal) {
 	q := p.queue(f.service)
@@ -147,12 +131,7 @@
 	if target <= 0 {
 		target = defaultTarget
 	}
-	w := &waiter{
-		arrived:     f.req.Arrived,
-		line:        line{f.bound, f.version},
-		onTimeUntil: f.slotNeededSince.Add(target - firstEventLatency),
-		wake:        make(chan struct{}, 1),
-	}
+	w := &waiter{turn: newTurn(f, target), line: line{f.bound, f.version}, wake: make(chan struct{}, 1)}
 	giveUp := f.slotNeededSince.Add(maxWaitTargets * target)
 	q.enqueue(w)
 	defer q.remove(w)
@@ -172,7 +151,7 @@
 		}
 		now := time.Now()
 		if q.isFirst(w, now) {
-			r, result := p.tryReserve(ctx, f, q, now, now.After(w.onTimeUntil))
+			r, result := p.tryReserve(ctx, f, q, now, w.isLate(now))
 			if r != nil {
 				return r, nil
 			}
@@ -192,7 +171,7 @@
 			return nil, p.overloadedRefusal(f, q)
 		}
 		interval := pollInterval
-		if now.After(w.onTimeUntil) {
+		if w.isLate(now) {
 			interval = latePollInterval
 		}
 		if !w.wait(ctx, interval) {
@@ -265,7 +244,7 @@
 func (q *slotQueue) heads(now time.Time) map[line]*waiter {
 	first := make(map[line]*waiter, 1)
 	for _, w := range q.waiting {
-		if head, ok := first[w.line]; !ok || w.compare(head, now) < 0 {
+		if head, ok := first[w.line]; !ok || w.compare(head.turn, now) < 0 {
 			first[w.line] = w
 		}
 	}
