--- a/stages/balance.go
+++ b/stages/balance.go
@@ -22,6 +22,10 @@
 	// still grants reservations but rejects the requests for them, whose prefill is then
 	// wasted.
 	prefillShortageRatio = 0.5
+	// maxDecodeChangeShare is the largest share of the decode engines that become prefill
+	// engines at once. Until they have changed, the others take over their requests, and
+	// prefill prompts themselves.
+	maxDecodeChangeShare = 0.125
 	// minPrefillSurplusShare is the surplus of prefill engines, as a share of all
 	// engines, from which on they become decode engines. A smaller one is left alone, as
 	// a change takes an engine out of service for seconds.
@@ -94,7 +98,8 @@
 	case surplus > 0 && float64(surplus) >= minPrefillSurplusShare*float64(n):
 		return selectChanges(prefillEngines, surplus, domain.RoleDecode)
 	case float64(len(prefillEngines)) < prefillShortageRatio*float64(wantPrefill):
-		return selectChanges(decodeEngines, -surplus, domain.RolePrefill)
+		atOnce := max(1, int(maxDecodeChangeShare*float64(len(decodeEngines))))
+		return selectChanges(decodeEngines, min(-surplus, atOnce), domain.RolePrefill)
 	default:
 		return nil
 	}
