dispatch: a resumable stream outlives the frozen host that it was passed on to

Cause: what another host streams was waited for until the deadline, so that a host that freezes held streams until their callers left, after four seconds.

Change: a resumable stream goes on at a further host after three seconds of silence, twice what the other host itself bears of an engine.

Result: TestStreamOutlivesAFrozenHost fails before (two of four events until the deadline), passes now.

--- a/dispatch/hop.go
+++ b/dispatch/hop.go
@@ -26,6 +26,10 @@
 	// firstAttemptShare of the time, so it gets one after unstatedAttemptShare.
 	unstatedLimit        = 1
 	unstatedAttemptShare = 0.3
+	// hopSilenceTimeout is how long a resumable stream of another host may be silent before it goes
+	// on at a further one: longer than that host takes to resume it at another engine, and shorter
+	// than the time that callers wait.
+	hopSilenceTimeout = 2 * streamSilenceTimeout
 	// cutOffRetryAfter is the retry delay reported if no host reaches the service.
 	cutOffRetryAfter = time.Second
 )
@@ -270,7 +274,11 @@
 	defer stream.Close()
 	events := sequence{last: cmp.Or(h.opts.LastEventID, h.req.LastEventID)}
 	for {
-		event, err := events.next(stream, time.Until(h.answerDeadline))
+		wait := time.Until(h.answerDeadline)
+		if h.route.Resumable {
+			wait = min(wait, hopSilenceTimeout)
+		}
+		event, err := events.next(stream, wait)
 		if errors.Is(err, io.EOF) && stream.Unframed() {
 			return false, &traffic.CallError{Effect: traffic.EffectUnknown, Err: errUnframedHop}
 		}
--- a/dispatch/hop_test.go
+++ b/dispatch/hop_test.go
@@ -202,6 +202,39 @@
 	})
 }
 
+// silentStream stops after some events and is silent until it is closed.
+type silentStream struct{ *fakeStream }
+
+func (s silentStream) Next(wait time.Duration) (traffic.Event, error) {
+	if s.next > s.last {
+		time.Sleep(wait)
+		return traffic.Event{}, &traffic.CallError{Effect: traffic.EffectUnknown, Err: errors.New("silent")}
+	}
+	return s.fakeStream.Next(wait)
+}
+
+// A host that freezes holds the streams that were passed on to it. Those that may be resumed go on at
+// a further host before their callers leave, after four seconds of silence.
+func TestStreamOutlivesAFrozenHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFixture(t, 1)
+		hops := &fakeHops{pass: func(n int) (traffic.HopResponse, error) {
+			if n == 1 {
+				return traffic.HopResponse{Stream: silentStream{newFakeStream(2, nil)}}, nil
+			}
+			return traffic.HopResponse{Stream: &fakeStream{next: 3, last: 4}}, nil
+		}}
+		cutOff(ctx, f, hops)
+		began := time.Now()
+		caller := f.serve("/resume/", &fakeCaller{})
+		if took := time.Since(began); !slices.Equal(caller.events, []string{"1", "2", "3", "4"}) || caller.aborted || took > 3500*time.Millisecond {
+			t.Errorf("events %v, aborted %v after %s, want all events before the caller leaves", caller.events, caller.aborted, took)
+		}
+	})
+}
+
 // A request that is passed on counts once for the retry budget.
 func TestPassedOnRequestIsCountedOnce(t *testing.T) {
 	for _, counted := range []bool{false, true} {
