dispatch: a request does not wait for a slot until its deadline passes

Cause: the wait was a multiple of the route's target only, so that callers with short deadlines, and routes with long targets, were held to the end.

Change: a request waits for two thirds of its time at most.

Result: TestRequestIsRefusedBeforeItsCallerLeaves with deadlines of 4 and 2 s fails before (3.0 and 2.0 s), passes now.

--- a/dispatch/order_test.go
+++ b/dispatch/order_test.go
@@ -133,12 +133,16 @@
 // What cannot be served before its caller leaves is refused in time, and as not run.
 func TestRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, 1)
-		f.reserve = func(*traffic.Upstream, int) error { return errRejected }
-		began, caller := time.Now(), &fakeCaller{}
-		f.gate.Serve(context.Background(), size{3000, 544}.request(), caller)
-		if r, took := caller.refusal, time.Since(began); r == nil || r.Ran != domain.RanNo || r.RetryAfter <= 0 || took > 3500*time.Millisecond {
-			t.Errorf("refusal %+v after %s, want one as not run before four targets have passed", r, took)
+		for _, deadline := range []time.Duration{14 * time.Second, 4 * time.Second, 2 * time.Second} {
+			f := newFixture(t, 1)
+			f.reserve = func(*traffic.Upstream, int) error { return errRejected }
+			began, caller, req := time.Now(), &fakeCaller{}, size{3000, 544}.request()
+			req.Deadline = began.Add(deadline)
+			f.gate.Serve(context.Background(), req, caller)
+			r, took := caller.refusal, time.Since(began)
+			if limit := min(3500*time.Millisecond, deadline*3/4); r == nil || r.Ran != domain.RanNo || r.RetryAfter <= 0 || took > limit {
+				t.Errorf("deadline %s: refusal %+v after %s, want one as not run within %s", deadline, r, took, limit)
+			}
 		}
 	})
 }
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -40,6 +40,9 @@
 	// four, so that one is left to have the prompt prefilled. Callers who are refused
 	// come back later than most bursts end.
 	maxWaitTargets = 3
+	// maxWaitShare is the share of the time until its deadline for which a request waits for a slot
+	// at most.
+	maxWaitShare = 2.0 / 3
 	// defaultTarget is the target latency of a route that sets none.
 	defaultTarget = time.Second
 	// overloadRetryAfter is the retry delay reported if no slot became free. Bursts
@@ -132,7 +135,8 @@
 		target = defaultTarget
 	}
 	w := &waiter{turn: newTurn(f, target), line: line{f.bound, f.version}, wake: make(chan struct{}, 1)}
-	giveUp := f.slotNeededSince.Add(maxWaitTargets * target)
+	patience := time.Duration(maxWaitShare * float64(f.answerDeadline.Sub(f.slotNeededSince)))
+	giveUp := f.slotNeededSince.Add(min(maxWaitTargets*target, patience))
 	q.enqueue(w)
 	defer q.remove(w)
 	unreached := 0
