--- a/dispatch/broken_stream_test.go
+++ b/dispatch/broken_stream_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"greengagespoke/domain"
 	"greengagespoke/internal/eventstream"
 	"greengagespoke/traffic"
 )
@@ -179,6 +180,29 @@
 	}
 }
 
+// An answer that is no stream may be whole, but is none to a generation: a host of the last release
+// hands over what an engine sent under another content type.
+func TestAnswerOfAnotherHostToAGenerationIsAStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFixture(t, 1)
+		hops := &fakeHops{pass: func(int) (traffic.HopResponse, error) {
+			return traffic.HopResponse{Answer: &traffic.Answer{Status: 200, Body: []byte("<p>failed</p>")}}, nil
+		}}
+		cutOff(ctx, f, hops)
+		for _, path := range []string{"/draft/x", "/resume/x"} {
+			caller := f.serve(path, &fakeCaller{})
+			if caller.answer != nil || caller.refusal == nil || caller.refusal.Ran != domain.RanUnknown {
+				t.Errorf("%s: answer %v, refusal %v, want a refusal as maybe run", path, caller.answer, caller.refusal)
+			}
+		}
+		if caller := f.serve("/once/x", &fakeCaller{}); caller.answer == nil {
+			t.Errorf("a plain call: refusal %v", caller.refusal)
+		}
+	})
+}
+
 // clientEvent is an event as a client reads it from a body.
 type clientEvent struct{ id, data string }
 
--- a/dispatch/hop.go
+++ b/dispatch/hop.go
@@ -181,6 +181,9 @@
 	switch {
 	case err == nil && resp.Answer != nil && h.headSent:
 		err = &traffic.CallError{Effect: traffic.EffectUnknown, Err: errStreamNotResumed}
+	case err == nil && resp.Answer != nil && h.isGeneration() && !resp.Refused && !resp.Answer.Failed():
+		g.metrics.streamsMalformed.Add(1)
+		err = &traffic.CallError{Effect: traffic.EffectUnknown, Err: errNoStream}
 	case err == nil && resp.Answer != nil && more && h.mayDoBetter(resp):
 		h.answer, h.refused = resp.Answer, resp.Refused
 		err = &traffic.CallError{Effect: traffic.EffectUnknown, Err: errUpstreamFailed}
@@ -213,6 +216,7 @@
 
 var (
 	errStreamNotResumed = errors.New("the stream does not go on at another host; its caller may take it up")
+	errNoStream         = errors.New("the other host answered with success and no stream; another one is tried")
 	errUpstreamFailed   = errors.New("the upstream that the other host chose failed; another one is tried")
 )
 
