dispatch, platformentry: a stopping host begins no stream that it cannot finish

Cause: a stopping host took streams for 3.3 s, whatever their length, and cut off what still ran 7.7 s after the start of the stop.

Change: streams are begun for 2.9 s, and only if they are expected to end before the process is killed, by the pace of the host's streams for each output token that callers expect. Others are refused at once as not run, for another host.

--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -54,6 +54,8 @@
 	Decides func(fingerprint uint64) bool
 	// Rejecting reports whether the host rejects new requests because it is stopping.
 	Rejecting func() bool
+	// Stopping returns the state of a planned stop, or false while there is none. It may be nil.
+	Stopping func() (Stop, bool)
 }
 
 // Gate dispatches callers' requests to upstreams. It is safe for concurrent use.
@@ -63,6 +65,7 @@
 	slots           *slotReserver
 	prefillSelector *prefillSelector
 	isolator        isolator
+	pace            *pace
 	// mixedVersions holds until when a service counts as one of several software versions.
 	mixedVersions *shard.Map[traffic.ServiceName, time.Time]
 	metrics       metrics
@@ -70,7 +73,7 @@
 
 // NewGate returns a Gate that uses cfg.
 func NewGate(cfg Config) *Gate {
-	g := &Gate{cfg: cfg, stats: newStatsMap(), metrics: newMetrics(cfg.Counters), prefillSelector: newPrefillSelector(), isolator: newIsolator(), mixedVersions: shard.NewMap[traffic.ServiceName, time.Time]()}
+	g := &Gate{cfg: cfg, stats: newStatsMap(), metrics: newMetrics(cfg.Counters), prefillSelector: newPrefillSelector(), isolator: newIsolator(), pace: newPace(), mixedVersions: shard.NewMap[traffic.ServiceName, time.Time]()}
 	g.slots = newSlotReserver(g)
 	return g
 }
@@ -140,6 +143,10 @@
 		g.refuse(req, caller, refusal)
 		return
 	}
+	if refusal := g.stopsTooSoon(f); refusal != nil {
+		g.refuse(req, caller, refusal)
+		return
+	}
 	if req.Hop != nil {
 		klog.InfoS("request taken from another host", "request", req.ID, "counted", req.Hop.Counted, "granted", req.Hop.Grant != nil,
 			"upstreams_used", f.used(), "upstreams_allowed", f.limit)
@@ -178,8 +185,7 @@
 		return domain.Refuse(domain.RefusalStoreDown, "this host knows no configuration yet",
 			"try again after the stated time").WithRetryAfter(noConfigRetryAfter)
 	case g.cfg.Rejecting():
-		return domain.Refuse(domain.RefusalLeaving, "this host is stopping",
-			"ask for the addresses again and use another one").WithRetryAfter(leavingRetryAfter)
+		return leavingRefusal()
 	}
 	if refusal := declineHop(req, config, route); refusal != nil {
 		return refusal
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -224,6 +224,7 @@
 			g.cfg.Quarantine.Clear(n.req.Fingerprint, n.parts...)
 		}
 		g.metrics.answered.Add(1)
+		g.pace.record(n.inFlight, time.Since(n.reservedAt))
 		g.cfg.Loads.RecordRequest(n.service, n.req.PromptTokens, reservation.Tokens, time.Since(n.reservedAt))
 		klog.InfoS("stream ended", "request", n.req.ID, "decode", reservation.Engine.ID, "events", n.eventsSent,
 			"prompt", n.req.PromptTokens, "max output", n.req.MaxOutput, "hint", n.req.OutputHint, "reserved", reservation.Tokens,
--- /dev/null
+++ b/dispatch/stopping.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"greengagespoke/domain"
+	"greengagespoke/traffic"
+)
+
+const (
+	// defaultTokenTime is the time that a stream is assumed to take for each output token that its
+	// caller expects, before the host has served streams of the service.
+	defaultTokenTime = 5 * time.Millisecond
+	// streamTimeMargin is the factor by which the expected time of a stream may fall short, as
+	// callers' estimates of the output do.
+	streamTimeMargin = 1.5
+	// newestTokenTimeWeight is the weight of the newest stream in the average.
+	newestTokenTimeWeight = 0.1
+)
+
+// pace learns how long the streams of each service take for an output token that callers expect.
+// It is safe for concurrent use.
+type pace struct {
+	mu        sync.Mutex
+	tokenTime map[traffic.ServiceName]time.Duration
+}
+
+func newPace() *pace { return &pace{tokenTime: make(map[traffic.ServiceName]time.Duration)} }
+
+// weight is what the time of a stream is taken to grow with, in tokens.
+func (p *pace) weight(req *traffic.Request) time.Duration {
+	return time.Duration(expectedOutput(req) + outputHeadroomTokens)
+}
+
+// record records a stream that took some time from the reservation of its slot.
+func (p *pace) record(f *inFlight, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newest := took / p.weight(f.req)
+	average, known := p.tokenTime[f.service]
+	if !known {
+		average = newest
+	}
+	p.tokenTime[f.service] = average + time.Duration(newestTokenTimeWeight*float64(newest-average))
+}
+
+// expected returns how long a stream is expected to take at most.
+func (p *pace) expected(f *inFlight) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	tokenTime, known := p.tokenTime[f.service]
+	if !known {
+		tokenTime = defaultTokenTime
+	}
+	return time.Duration(streamTimeMargin * float64(p.weight(f.req)*tokenTime))
+}
+
+// Stop is the state of a planned stop.
+type Stop struct {
+	// Left is the time until the host ends the requests in flight.
+	Left time.Duration
+	// NoStreams says that the host begins no further streams.
+	NoStreams bool
+}
+
+// stopsTooSoon returns the refusal of a generation that is not expected to end before this host
+// does, or nil. The load that it answers: a rolling stop, while callers still come to the host with
+// streams of several seconds.
+func (g *Gate) stopsTooSoon(f *inFlight) *domain.Refusal {
+	if !f.isGeneration() || g.cfg.Stopping == nil {
+		return nil
+	}
+	stop, stopping := g.cfg.Stopping()
+	if !stopping {
+		return nil
+	}
+	if expected := g.pace.expected(f); stop.NoStreams || expected > stop.Left {
+		klog.InfoS("stream not begun before the stop", "request", f.req.ID, "left", stop.Left, "expected", expected, "no_streams", stop.NoStreams)
+		return leavingRefusal()
+	}
+	return nil
+}
+
+// leavingRefusal is the refusal of a host that is stopping.
+func leavingRefusal() *domain.Refusal {
+	return domain.Refuse(domain.RefusalLeaving, "this host is stopping",
+		"ask for the addresses again and use another one").WithRetryAfter(leavingRetryAfter)
+}
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -106,8 +106,10 @@
 
 	// leaving is set when callers should connect to other hosts, rejecting when the
 	// host rejects new requests.
-	leaving          atomic.Bool
-	rejecting        atomic.Bool
+	leaving   atomic.Bool
+	rejecting atomic.Bool
+	// stopStarted is when the planned stop began, or nil.
+	stopStarted      atomic.Pointer[time.Time]
 	inFlight         atomic.Int64
 	stopRegistration context.CancelFunc
 }
@@ -163,7 +165,7 @@
 		Rest: d.rateLimits.Rest,
 	})
 	d.gate = dispatch.NewGate(dispatch.Config{
-		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load,
+		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load, Stopping: d.stopping,
 		Budget: d.retryBudget, Loads: loads, Quarantine: d.quarantine, Decides: d.decides,
 		RateLimits: d.rateLimits, Origins: d.origins, Reach: d.reach,
 		Hops: upstream.Hops{Client: d.upstreams, Address: d.peerAddress},
--- a/platformentry/platform_test.go
+++ b/platformentry/platform_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -266,6 +267,50 @@
 	}
 }
 
+// Whatever a stopping host takes, it finishes: streams of five seconds arrive through the whole
+// stop, after the host has served some. Each of them is complete, or refused as not run with a retry delay, or finds no host.
+func TestStreamsTakenDuringAStopAreCompleted(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t, 1)
+	for _, id := range []string{"dec-1", "dec-2"} {
+		d.workers[id].SetStream(25, 200*time.Millisecond)
+	}
+	stopping := d.hosts[0]
+	var before sync.WaitGroup
+	for range 40 {
+		before.Go(func() { d.send(stopping, "POST", "/draft/long", nil) })
+	}
+	before.Wait()
+	stopping.stop()
+	results := make(chan response, 60)
+	began := time.Now()
+	sent := 0
+	for ; time.Since(began) < 5*time.Second; sent++ {
+		go func() {
+			got := d.send(stopping, "POST", "/draft/long", nil)
+			if took := time.Since(began); got.status == http.StatusOK && took > stopping.settings.DrainLimit {
+				t.Errorf("a stream ended %s after the stop, when the process is killed", took)
+			}
+			results <- got
+		}()
+		time.Sleep(100 * time.Millisecond)
+	}
+	complete, refused := 0, 0
+	for range sent {
+		switch got := <-results; {
+		case got.status == http.StatusOK && got.err == nil && len(eventIDs(got.body)) == 25:
+			complete++
+		case got.status == http.StatusServiceUnavailable && got.header.Get(wire.HeaderRetryAfter) != "":
+			refused++
+		case got.status != 0:
+			t.Errorf("status %d, %d events, %v", got.status, len(eventIDs(got.body)), got.err)
+		}
+	}
+	if complete == 0 || refused == 0 {
+		t.Errorf("%d of %d complete, %d refused; want the first ones complete, and later ones refused", complete, sent, refused)
+	}
+}
+
 // If a service has too many prefill engines, a single host must order some of them to
 // become decode engines, each of them once.
 func TestEngineRolesAreRebalanced(t *testing.T) {
--- a/platformentry/stop.go
+++ b/platformentry/stop.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"greengagespoke/dispatch"
 	"greengagespoke/internal/pause"
 )
 
@@ -18,6 +19,9 @@
 	// the TTL of an address list, as some callers keep it that long, plus some time for
 	// the leaving state to spread.
 	drainAcceptDuration = 3*addressListTTL + 300*time.Millisecond
+	// streamAcceptDuration is how long a leaving host begins streams. It is a little shorter than
+	// three times the TTL of an address list, as a stream that begins last takes seconds.
+	streamAcceptDuration = 3*addressListTTL - 100*time.Millisecond
 	// drainStopMargin is the part of the drain limit that is left unused, so that the
 	// host stops before the platform kills the process.
 	drainStopMargin = 300 * time.Millisecond
@@ -30,6 +34,7 @@
 // for the requests in flight, up to the drain limit.
 func (d *Daemon) drain(ctx context.Context) {
 	start := time.Now()
+	d.stopStarted.Store(&start)
 	d.leaving.Store(true)
 	klog.InfoS("host leaving", "host", d.settings.Host, "in flight", d.inFlight.Load())
 	d.stopRegistration()
@@ -40,13 +45,30 @@
 	pause.For(ctx, drainAcceptDuration)
 	d.rejecting.Store(true)
 	klog.InfoS("host takes no new work", "host", d.settings.Host, "in flight", d.inFlight.Load())
-	deadline := start.Add(time.Duration(d.drainLimit.Load()) - drainStopMargin)
+	deadline := d.drainDeadline(start)
 	for d.inFlight.Load() > 0 && time.Now().Before(deadline) {
 		pause.For(ctx, inFlightPollInterval)
 	}
 	klog.InfoS("host drained", "host", d.settings.Host, "in flight", d.inFlight.Load(), "took", time.Since(start))
 }
 
+// drainDeadline returns when requests that are still in flight are cut off in a stop that began at
+// start.
+func (d *Daemon) drainDeadline(start time.Time) time.Time {
+	return start.Add(time.Duration(d.drainLimit.Load()) - drainStopMargin)
+}
+
+// stopping returns the state of a planned stop, or false while there is none.
+func (d *Daemon) stopping() (dispatch.Stop, bool) {
+	start := d.stopStarted.Load()
+	if start == nil {
+		return dispatch.Stop{}, false
+	}
+	return dispatch.Stop{
+		Left: time.Until(d.drainDeadline(*start)), NoStreams: time.Since(*start) > streamAcceptDuration,
+	}, true
+}
+
 // stopListeners closes the listeners. It also closes the connections that are still
 // open after the drain, which is not an error.
 func (d *Daemon) stopListeners() error {
