dispatch: a request that waits for a slot leaves a stopping host in time

Cause: the check whether a stream ends before the host does was made on arrival only, so a request could wait for a slot for three seconds and begin then.

Change: it is made again while the request waits. Streams that have begun go on.

--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -143,7 +143,7 @@
 		g.refuse(req, caller, refusal)
 		return
 	}
-	if refusal := g.stopsTooSoon(f); refusal != nil {
+	if refusal := g.stopsTooSoon(f, false); refusal != nil {
 		g.refuse(req, caller, refusal)
 		return
 	}
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -147,6 +147,9 @@
 		if refusal := p.gate.versionGone(f); refusal != nil {
 			return nil, refusal
 		}
+		if refusal := p.gate.stopsTooSoon(f, true); refusal != nil {
+			return nil, refusal
+		}
 		if p.gate.isCutOff(f) {
 			return nil, cutOffRefusal(f.service)
 		}
--- a/dispatch/stopping.go
+++ b/dispatch/stopping.go
@@ -66,22 +66,25 @@
 	NoStreams bool
 }
 
-// stopsTooSoon returns the refusal of a generation that is not expected to end before this host
-// does, or nil. The load that it answers: a rolling stop, while callers still come to the host with
-// streams of several seconds.
-func (g *Gate) stopsTooSoon(f *inFlight) *domain.Refusal {
-	if !f.isGeneration() || g.cfg.Stopping == nil {
+// stopsTooSoon returns the refusal of a generation that has not begun and is not expected to end
+// before this host does, or nil. admitted says that the request was taken already, and waits. The
+// load that it answers: a rolling stop, while callers still come to the host with streams of several
+// seconds.
+func (g *Gate) stopsTooSoon(f *inFlight, admitted bool) *domain.Refusal {
+	begun := f.slotNeededSince.After(f.req.Arrived)
+	if !f.isGeneration() || begun || g.cfg.Stopping == nil {
 		return nil
 	}
 	stop, stopping := g.cfg.Stopping()
 	if !stopping {
 		return nil
 	}
-	if expected := g.pace.expected(f); stop.NoStreams || expected > stop.Left {
-		klog.InfoS("stream not begun before the stop", "request", f.req.ID, "left", stop.Left, "expected", expected, "no_streams", stop.NoStreams)
-		return leavingRefusal()
+	expected := g.pace.expected(f)
+	if expected <= stop.Left && (admitted || !stop.NoStreams) {
+		return nil
 	}
-	return nil
+	klog.InfoS("stream not begun before the stop", "request", f.req.ID, "left", stop.Left, "expected", expected, "admitted", admitted)
+	return leavingRefusal()
 }
 
 // leavingRefusal is the refusal of a host that is stopping.
--- a/dispatch/stopping_test.go
+++ b/dispatch/stopping_test.go
@@ -51,3 +51,42 @@
 		}
 	})
 }
+
+// A request that waits for a slot when the stop begins is told to go elsewhere once it would not end
+// in time, and a stream that has begun goes on.
+func TestWaitingRequestLeavesAStoppingHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		began := time.Now()
+		f.gate.cfg.Stopping = func() (Stop, bool) { return Stop{Left: 4*time.Second - time.Since(began)}, true }
+		full := false
+		f.reserve = func(*traffic.Upstream, int) error {
+			if full {
+				return errRejected
+			}
+			return nil
+		}
+		broken := &byteCaller{}
+		f.stream = func(_ *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error) {
+			if opts.LastEventID == "" {
+				return newFakeStream(2, errReset), nil
+			}
+			time.Sleep(2 * time.Second)
+			return newFakeStreamAfter(opts.LastEventID, 3, nil), nil
+		}
+		req := size{1000, 400}.request()
+		req.Path = "/resume/x"
+		f.gate.Serve(context.Background(), req, broken)
+		if !broken.complete() {
+			t.Errorf("a stream that had begun: events %v, refusal %v", broken.events, broken.refusal)
+		}
+		// Such a stream took two seconds, so three are to be left; a late request looks each 150 ms.
+		full, began = true, time.Now()
+		caller := &fakeCaller{}
+		f.gate.Serve(context.Background(), size{1000, 400}.request(), caller)
+		r := caller.refusal
+		if took := time.Since(began); r == nil || r.Kind != domain.RefusalLeaving || r.Ran != domain.RanNo || took > time.Second+latePollInterval {
+			t.Errorf("refusal %+v after %s, want one as leaving once the time is too short", r, took)
+		}
+	})
+}
