baton: turns that are held while their holder waits

Cause: a request that finds out whether an upstream has ended, and one that asks which hosts reach a service, held a mutex while they waited for other processes. In virtual time whoever waits for a mutex stops the clock, so that no whole host could run in it. Change: internal/baton hands the turn on in the order of asking; both places use it.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -83,8 +83,8 @@
 func (g *Gate) crashed(ctx context.Context, f *inFlight, up *traffic.Upstream) bool {
 	lostAt := time.Now()
 	t := g.stats.forUpstream(up)
-	t.crashMu.Lock()
-	defer t.crashMu.Unlock()
+	t.crashTurn.Take()
+	defer t.crashTurn.Give()
 	if t.crashCheckedAt.After(lostAt) {
 		return t.crashed
 	}
--- a/dispatch/track.go
+++ b/dispatch/track.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/baton"
 	"greengagespoke/internal/shard"
 	"greengagespoke/traffic"
 )
@@ -80,9 +81,9 @@
 	// says is being tried.
 	mustProbe, probing bool
 
-	// crashMu is held while a request finds out whether the process has ended; crashed
+	// crashTurn is held while a request finds out whether the process has ended; crashed
 	// says that it had at crashCheckedAt.
-	crashMu        sync.Mutex
+	crashTurn      baton.Baton
 	crashed        bool
 	crashCheckedAt time.Time
 }
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -18,6 +18,7 @@
 
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/internal/baton"
 	"greengagespoke/internal/pause"
 	"greengagespoke/internal/shard"
 	"greengagespoke/ports"
@@ -100,7 +101,7 @@
 	nextTry  time.Time
 	// helpers are the hosts that reached the service at helpersAt. asking is held while they
 	// are asked.
-	asking    sync.Mutex
+	asking    baton.Baton
 	helpers   []domain.HostID
 	helpersAt time.Time
 }
@@ -286,8 +287,8 @@
 // a bounded time.
 func (m *Monitor) Helpers(ctx context.Context, name traffic.ServiceName) []domain.HostID {
 	s := m.service(name)
-	s.asking.Lock()
-	defer s.asking.Unlock()
+	s.asking.Take()
+	defer s.asking.Give()
 	s.mu.Lock()
 	helpers, at := s.helpers, s.helpersAt
 	s.mu.Unlock()
