memnet: whole hosts over a network in memory

Cause: the trials with whole hosts used sockets and real time, so that their results depended on what else the machine did.

--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -77,6 +77,7 @@
 // keep this view up to date.
 type Daemon struct {
 	settings *settings.Settings
+	network  tcp.Network
 	// drainLimit and maxAddressListTTL are settings that may change while the host runs,
 	// as a time.Duration.
 	drainLimit        atomic.Int64
@@ -116,16 +117,19 @@
 
 // New returns a daemon for validated settings. The counters are served on metricsPort
 // of the host's address; 0 disables this. Nothing listens before Run.
-func New(s *settings.Settings, metricsPort int) *Daemon {
+func New(s *settings.Settings, metricsPort int) *Daemon { return NewOn(tcp.System, s, metricsPort) }
+
+// NewOn returns a daemon as New does, whose connections and listeners are those of a network.
+func NewOn(network tcp.Network, s *settings.Settings, metricsPort int) *Daemon {
 	logging.UseKlog()
 	counterSet := counters.NewSet()
-	d := &Daemon{settings: s, catalog: catalog.New(), upstreams: upstream.New()}
+	d := &Daemon{settings: s, network: network, catalog: catalog.New(), upstreams: upstream.NewOn(network)}
 	self := domain.Member{
 		ID: s.Host, Zone: s.Zone, PeerAddress: s.Peers, CallerAddress: s.Callers, State: domain.MemberAlive,
 	}
 	d.retryBudget = dispatch.NewBudget(d.nonDeadHostCount)
 	d.applySettings(s)
-	storeClient := store.New(s.StoreAddress)
+	storeClient := store.NewOn(network, s.StoreAddress)
 	d.hosts = registry.NewHosts(storeClient, self)
 	d.storeSource = registry.NewSource(storeClient, s.Host)
 	d.storeSource.OnRestored(d.hosts.Restored)
@@ -190,7 +194,7 @@
 		Key:        peerKey,
 		Counters:   counterSet,
 		HTTP: &http.Client{Transport: httplimit.Transport(&http.Transport{
-			DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return tcp.Dial(ctx, addr) },
+			DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return d.network.Dial(ctx, addr) },
 			MaxIdleConnsPerHost: maxIdlePeerConns, IdleConnTimeout: peerIdleTimeout, DisableCompression: true,
 		})},
 	})
@@ -350,16 +354,16 @@
 			}))
 		}))
 	listeners := []kratosServer{
-		ingress.NewCallers(ingress.CallersConfig{
+		d.listener(d.settings.Callers, ingress.NewCallers(ingress.CallersConfig{
 			Address: d.settings.Callers, Serve: d.serve, Limits: limits, Leaving: d.leaving.Load,
-		}),
-		ingress.NewReady(d.settings.Ready, d.ready),
-		ingress.NewDirectory(d.settings.Directory, d.resolveAddresses),
-		peers,
+		})),
+		d.listener(d.settings.Ready, ingress.NewReady(d.settings.Ready, d.ready)),
+		d.listener(d.settings.Directory, ingress.NewDirectory(d.settings.Directory, d.resolveAddresses)),
+		d.listener(d.settings.Peers, peers),
 	}
 	if metricsPort == 0 {
 		return listeners
 	}
 	address := net.JoinHostPort(d.settings.IP, strconv.Itoa(metricsPort))
-	return append(listeners, newMetricsServer(address, counterSet))
+	return append(listeners, d.listener(address, newMetricsServer(address, counterSet)))
 }
--- a/platformentry/metrics.go
+++ b/platformentry/metrics.go
@@ -3,17 +3,13 @@
 import (
 	"net/http"
 
-	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"greengagespoke/counters"
 )
 
-// kratosServer is a listener that the Kratos framework starts and stops.
-type kratosServer = transport.Server
-
 // newMetricsServer returns the listener that serves the counters as JSON.
-func newMetricsServer(address string, counterSet *counters.Set) kratosServer {
+func newMetricsServer(address string, counterSet *counters.Set) *khttp.Server {
 	return khttp.NewServer(khttp.Address(address), khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler {
 			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
