rendezvous: a host that leaves is not chosen by itself either

Cause: the others choose among alive hosts; a host that leaves counted itself still. If it was the one that grants an upstream's rate limit, two hosts granted the whole limit until it had ended, up to its drain limit; so it was with the host that decides on a fingerprint. Change: a host that sees itself leaving chooses among the others, if there are any. Result: TestLeavingHostAgreesWithTheOthers fails before.

--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -16,10 +16,13 @@
 	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(host), key))
 }
 
-// Best returns the host with the highest score for a key of self and all alive members.
+// Best returns the alive host with the highest score for a key. It returns self only if self is the
+// best one, or if it sees no other alive host: a host that leaves is not chosen by the others either.
 func Best(self domain.HostID, members []domain.Member, key uint64) domain.HostID {
-	best := self
-	highest := score(best, key)
+	best, highest := self, uint64(0)
+	if !slices.ContainsFunc(members, func(m domain.Member) bool { return m.ID == self && m.State != domain.MemberAlive }) {
+		highest = score(self, key)
+	}
 	for _, m := range members {
 		if s := score(m.ID, key); m.State == domain.MemberAlive && s > highest {
 			best, highest = m.ID, s
--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -58,3 +58,21 @@
 		}
 	}
 }
+
+// A host that leaves chose itself while all others chose another host, so that two of them granted
+// the whole of an upstream's rate limit until the leaving one had ended.
+func TestLeavingHostAgreesWithTheOthers(t *testing.T) {
+	all := members(9, 3)
+	all[4].State = domain.MemberLeaving
+	for key := range uint64(100) {
+		want := Best("h0", all, key)
+		for _, m := range all {
+			if got := Best(m.ID, all, key); got != want {
+				t.Fatalf("key %d: %s chooses %s, h0 chooses %s", key, m.ID, got, want)
+			}
+		}
+	}
+	if got := Best("h4", all[4:5], 1); got != "h4" {
+		t.Errorf("a host that leaves and sees no other one chooses %s", got)
+	}
+}
