quarantine: rivals are tried by one host, one after the other

Cause: requests that had all their crashes together are undecided, and each was run by the host that decides on its fingerprint. Change: a subject and its rivals have one key, the smallest of their fingerprints, and so one host, which runs suspects one at a time. Result: TestRivalsHaveOneDecidingHost fails before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -251,12 +251,16 @@
 
 // Undecided reports whether the request or a part of its prompt has strikes enough to be
 // quarantined, but shares its crashes with another subject, has all of them from one occasion
-// or is tried again, and returns its fingerprint.
+// or is tried again. It returns the fingerprint by which hosts agree on the one that runs it: the
+// smallest one of a subject and its rivals, so that rivals run one after the other.
 func (l *List) Undecided(request uint64, parts ...uint64) (fingerprint uint64, undecided bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range subjectsOf(request, parts) {
 		if r := l.unexpiredRecord(s); r != nil && (len(r.rivals) > 0 || l.onTrial(s, r) || l.onOneOccasion(s, r)) {
+			for _, rival := range r.rivals {
+				s.fingerprint = min(s.fingerprint, rival.fingerprint)
+			}
 			return s.fingerprint, true
 		}
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -310,3 +310,20 @@
 		})
 	}
 }
+
+// Requests that had all their crashes together ran together once more, as each had a host of its own to
+// decide on it, and a sound one was refused.
+func TestRivalsHaveOneDecidingHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newList()
+		for i := range DefaultStrikeLimit {
+			l.RecordCrash(domain.UpstreamID(fmt.Sprint("p", i)), []uint64{7, 3, 5})
+			time.Sleep(time.Second)
+		}
+		for _, request := range []uint64{3, 5, 7} {
+			if key, undecided := l.Undecided(request); !undecided || key != 3 {
+				t.Errorf("request %d: undecided %t, decided by the host of %d, want that of 3", request, undecided, key)
+			}
+		}
+	})
+}
