--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -108,6 +108,20 @@
 	replaced map[traffic.Incarnation]bool
 	// breaks counts the streams that broke at a process.
 	breaks map[traffic.Incarnation]int
+	// eventsSent is the number of events that the caller got, lastEventAt when it got the last one.
+	eventsSent  int
+	lastEventAt time.Time
+}
+
+// eventSent notes that the caller got an event.
+func (f *inFlight) eventSent() { f.eventsSent, f.lastEventAt = f.eventsSent+1, time.Now() }
+
+// silence returns the time since the caller got anything, or since the request arrived.
+func (f *inFlight) silence() time.Duration {
+	if f.eventsSent == 0 {
+		return time.Since(f.req.Arrived)
+	}
+	return time.Since(f.lastEventAt)
 }
 
 // Serve handles a request and delivers the response or a refusal to caller. It
@@ -204,7 +218,8 @@
 		return
 	}
 	g.metrics.streamsBroken.Add(1)
-	klog.InfoS("stream broken off", "request", f.req.ID, "reason", refusal.Kind, "message", refusal.Message)
+	klog.InfoS("stream broken off", "request", f.req.ID, "events", f.eventsSent,
+		"silent", f.silence().Round(time.Millisecond), "reason", refusal.Kind, "message", refusal.Message)
 	caller.Abort()
 }
 
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -31,7 +31,6 @@
 	lastEventID string
 	// mayHaveRun says that some engine may have executed the request.
 	mayHaveRun bool
-	eventsSent int
 	// originSent says that other hosts were told which software version began the stream.
 	originSent bool
 	// reservedAt is when the last slot was reserved.
@@ -459,7 +458,7 @@
 			return errCallerDisconnected
 		}
 		if event.ID != "" {
-			n.eventsSent++
+			n.eventSent()
 			n.lastEventID = event.ID
 		}
 	}
--- a/dispatch/hop.go
+++ b/dispatch/hop.go
@@ -307,6 +307,7 @@
 			return true, nil
 		}
 		if event.ID != "" {
+			h.eventSent()
 			h.goOnAfter(event.ID)
 		}
 	}
