membership, ratelimit, quarantine: odd values in messages between hosts do not last

Cause: nothing checked the values that other hosts send. An update with the greatest incarnation could not be refuted, so that one malformed message took a host out of all views for good; a rate limit stated in the future outlived all later ones; a wait without end kept a host from asking again; strikes and completions from the future never lapsed. Change: such updates and limits are ignored, counted (membership_odd_updates, ratelimit_odd) and logged; ages of strikes are not below zero, and a host waits for five minutes at most.

--- a/membership/counts.go
+++ b/membership/counts.go
@@ -17,12 +17,13 @@
 	defRefutations = counters.Define("membership_refutations", "incorrect gossip updates about this host that it refuted")
 	defSyncs       = counters.Define("membership_syncs", "full view syncs that this host started and completed")
 	defListErrors  = counters.Define("membership_host_list_errors", "failed or unusable reads of the host list")
+	defOdd         = counters.Define("membership_odd_updates", "updates from other hosts that name no state, no host or an incarnation that no host has; they are ignored")
 	defPauses      = counters.Define("membership_pauses", "times that this host detected that its process had been paused")
 )
 
 // counts holds the counters and gauges of one host.
 type counts struct {
-	alive, known, probes, failed, indirect, suspicions, deaths, refutations, syncs, listErrors, pauses *expvar.Int
+	alive, known, probes, failed, indirect, suspicions, deaths, refutations, syncs, listErrors, pauses, odd *expvar.Int
 }
 
 func newCounts(set *counters.Set) counts {
@@ -41,5 +42,6 @@
 		syncs:       set.Int(defSyncs),
 		listErrors:  set.Int(defListErrors),
 		pauses:      set.Int(defPauses),
+		odd:         set.Int(defOdd),
 	}
 }
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -23,6 +23,11 @@
 func (m *Membership) merge(updates []domain.Member, from updateSource) {
 	changed := false
 	for _, update := range updates {
+		if !plausible(update) {
+			m.counts.odd.Add(1)
+			klog.InfoS("odd update about a member ignored", "host", m.self.ID, "member", update.ID, "state", update.State, "incarnation", update.Incarnation)
+			continue
+		}
 		if update.ID == m.self.ID {
 			changed = m.refute(update) || changed
 			continue
@@ -34,6 +39,20 @@
 	}
 }
 
+// maxIncarnation bounds incarnations, which begin as milliseconds since 1970. A host could not refute
+// one of the greatest numbers.
+const maxIncarnation = 1 << 53
+
+// plausible reports whether a host may have sent an update.
+func plausible(update domain.Member) bool {
+	switch update.State {
+	case domain.MemberAlive, domain.MemberSuspect, domain.MemberLeaving, domain.MemberDead:
+		return update.ID != "" && update.Incarnation < maxIncarnation
+	default:
+		return false
+	}
+}
+
 // refute handles an update about this host and reports whether the host's own entry
 // changed. An update that contradicts the current entry is refuted by gossiping the
 // entry, with a higher incarnation if needed. An update of the current incarnation
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -327,3 +327,26 @@
 		}
 	})
 }
+
+// Strikes and completions from the future never lapsed, so that one malformed message refused a sound
+// request, or kept a crashing one running, for good.
+func TestStrikesFromTheFutureLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newList()
+		for i := range 2 * DefaultStrikeLimit {
+			l.Merge([]ports.Strike{{Fingerprint: 7, Upstream: domain.UpstreamID(fmt.Sprint("p", i)), Age: -1000 * time.Hour, Suspects: -1}})
+		}
+		time.Sleep(DefaultStrikeTTL + time.Second)
+		if refusal := l.Check(7); refusal != nil {
+			t.Errorf("refused after the strikes have lapsed: %v", refusal)
+		}
+		l.Merge([]ports.Strike{{Fingerprint: 8, Age: -1000 * time.Hour}})
+		for i := range 2 * DefaultStrikeLimit {
+			time.Sleep(time.Second)
+			l.RecordCrash(domain.UpstreamID(fmt.Sprint("q", i)), []uint64{8})
+		}
+		if l.Check(8) == nil {
+			t.Error("a request that crashed upstreams after it completed is not refused")
+		}
+	})
+}
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -94,6 +94,8 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	for _, s := range strikes {
+		// Nothing has happened in the future: it would never lapse.
+		s.Age, s.Suspects = max(0, s.Age), max(0, s.Suspects)
 		of := subject{fingerprint: s.Fingerprint, part: s.Part}
 		if s.Upstream == "" {
 			l.clearUntil(of, now.Add(-s.Age), sends)
--- a/ratelimit/ratelimit.go
+++ b/ratelimit/ratelimit.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,9 @@
 	// askTimeout bounds the question to the granting host: several round trips between
 	// availability zones.
 	askTimeout = 80 * time.Millisecond
+	// longestWait bounds the wait that another host names. A granting host of 1,000 hosts that all
+	// ask names 200 s.
+	longestWait = 5 * time.Minute
 	// askRetryDelay is the wait after a question that was not answered.
 	askRetryDelay = time.Second
 	// waitJitter is the fraction by which waits are shortened at random, so that hosts do
@@ -52,6 +56,7 @@
 )
 
 var (
+	defOdd    = counters.Define("ratelimit_odd", "rate limits from other hosts that no upstream can have stated; they are ignored")
 	defStated = counters.Define("ratelimit_stated", "changes of the rate limits that upstreams state, in responses or as other hosts report")
 	defSent   = counters.Define("ratelimit_sent", "requests sent to upstreams that have stated a rate limit: calls, prompts and streams")
 	defAsked  = counters.Define("ratelimit_asked", "requests to upstreams with a rate limit for which this host asked the granting host, itself included")
@@ -156,6 +161,17 @@
 	return true
 }
 
+// setStatedRate sets the rate that another host knows, unless it is none that a host may know. The
+// caller holds the lock of the state.
+func (l *Limits) setStatedRate(s *state, limit ports.RateLimit, now time.Time) {
+	if limit.Age < 0 || limit.Rate < 0 || math.IsNaN(limit.Rate) || math.IsInf(limit.Rate, 0) {
+		l.cfg.Counters.Int(defOdd).Add(1)
+		klog.InfoS("odd rate limit from another host ignored", "process", s.process, "rate", limit.Rate, "age", limit.Age)
+		return
+	}
+	l.setRate(s, limit.Rate, now.Add(-limit.Age))
+}
+
 // Rest records that an upstream wants no requests of this host for a while. It does not block.
 func (l *Limits) Rest(up *traffic.Upstream, rest time.Duration) {
 	s := l.state(processOf(up))
@@ -313,7 +329,7 @@
 	if reply.Granted {
 		s.beginFirst(time.Now())
 	} else {
-		wait := time.Duration((1 - waitJitter*rand.Float64()) * float64(reply.Wait))
+		wait := time.Duration((1 - waitJitter*rand.Float64()) * float64(min(reply.Wait, longestWait)))
 		s.deniedUntil = time.Now().Add(wait)
 	}
 	return reply.Granted
@@ -343,7 +359,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l.setRate(s, reply.Limit.Rate, time.Now().Add(-reply.Limit.Age))
+	l.setStatedRate(s, reply.Limit, time.Now())
 	return reply
 }
 
@@ -373,7 +389,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastUsed = now
-	l.setRate(s, req.Limit.Rate, now.Add(-req.Limit.Age))
+	l.setStatedRate(s, req.Limit, now)
 	reply := ports.RateReply{Limit: s.limit(now)}
 	switch {
 	case req.ReportOnly:
