quarantine: strikes that arrive after a completion count once the request crashes again

Cause: a request that crashes some upstreams and runs well on others completed at the hosts that use the latter. Strikes of crashes before that, which arrived afterwards, were dropped instead of being kept with those that the completion had cleared, so that a further crash did not bring them back: these hosts sent the request on without end while the others refused it. Change: late strikes join the cleared ones, or count at once if the request has crashed an upstream since. Result: TestStrikesThatArriveLateCountAfterARelapse fails before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -378,16 +378,23 @@
 }
 
 // recordStrike records a strike unless it is known, expired or older than the time at
-// which the subject completed. It reports whether it recorded the strike.
+// which the subject completed. It reports whether it recorded the strike. A strike of a request that
+// is older counts as those do that were known when it completed.
 func (l *List) recordStrike(of subject, s strike) bool {
 	now := time.Now()
 	if endedAt, known := l.ends.Entries[s.upstream]; !known || s.crashedAt.Before(endedAt) {
 		l.ends.Put(s.upstream, s.crashedAt)
 	}
-	if of.fingerprint == 0 || now.Sub(s.crashedAt) > l.cfg.StrikeTTL || !s.crashedAt.After(l.completions(of).Entries[of]) {
+	if of.fingerprint == 0 || now.Sub(s.crashedAt) > l.cfg.StrikeTTL {
 		return false
 	}
 	r := l.unexpiredRecord(of)
+	if !s.crashedAt.After(l.completions(of).Entries[of]) {
+		if r != nil && !of.part {
+			l.mustJudge = r.addLate(s) || l.mustJudge
+		}
+		return false
+	}
 	if r == nil {
 		r = &record{}
 		l.records.Put(of, r)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -350,3 +350,38 @@
 		}
 	})
 }
+
+// A request that completes at the upstreams that one host uses, and crashes those of others, was sent on
+// by that host without end: the strikes that arrived after a completion did not count when it crashed
+// a further upstream.
+func TestStrikesThatArriveLateCountAfterARelapse(t *testing.T) {
+	for name, relapseFirst := range map[string]bool{"before the relapse": false, "after the relapse": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newList()
+				l.Merge([]ports.Strike{{Fingerprint: 7, Upstream: "p5"}})
+				time.Sleep(400 * time.Millisecond)
+				l.Clear(7)
+				time.Sleep(40 * time.Millisecond)
+				late := []ports.Strike{{Fingerprint: 7, Upstream: "p3", Age: 50 * time.Millisecond}, {Fingerprint: 7, Upstream: "p7", Age: 50 * time.Millisecond}}
+				if !relapseFirst {
+					l.Merge(late)
+				}
+				if l.Check(7) != nil {
+					t.Error("refused though it completed after all crashes")
+				}
+				time.Sleep(400 * time.Millisecond)
+				l.Merge([]ports.Strike{{Fingerprint: 7, Upstream: "p1"}})
+				if relapseFirst {
+					for i := range late {
+						late[i].Age += 400 * time.Millisecond
+					}
+					l.Merge(late)
+				}
+				if l.Check(7) == nil {
+					t.Error("not refused after crashes of four upstreams")
+				}
+			})
+		})
+	}
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -113,6 +113,24 @@
 	r.cleared, r.completions = nil, 0
 }
 
+// addLate adds a strike that arrived after the request had completed, from before that. It reports
+// whether it counts now, as the request has crashed an upstream since.
+func (r *record) addLate(s strike) bool {
+	if r.relapsed {
+		return r.addStrike(s)
+	}
+	before := record{strikes: r.cleared}
+	before.addStrike(s)
+	r.cleared = before.strikes
+	if len(r.strikes) == 0 {
+		return false
+	}
+	completions := r.completions
+	r.reinstate()
+	r.completions = completions
+	return true
+}
+
 func (r *record) crashes() int {
 	n := 0
 	for _, s := range r.strikes {
