soak: reservations may lapse after the hosts have ended

Change: the check waits for that time at most; prompts that were read do not lapse and must be gone as before.

--- a/soak/run.go
+++ b/soak/run.go
@@ -19,6 +19,10 @@
 	settle = contactTime + rateWindow
 	// stopLimit is the longest planned stop.
 	stopLimit = 12 * time.Second
+	// reservationTTL is how long hosts reserve places at most, releasePoll the time between two looks at
+	// what is still reserved.
+	reservationTTL = 2 * time.Second
+	releasePoll    = 50 * time.Millisecond
 )
 
 // crashDraw numbers the random draws of the crashing requests, beyond those of callers.
@@ -263,7 +267,12 @@
 			r.ledger.find("%v", err)
 		}
 	}
+	ended := time.Now()
 	for _, w := range r.currentWorkers() {
+		// A reservation whose release was lost lapses; a prompt that was read does not.
+		for w.Stage == "decode" && w.Held() > 0 && time.Since(ended) < reservationTTL {
+			time.Sleep(releasePoll)
+		}
 		if w.Stage == "decode" && w.Held() > 0 {
 			r.ledger.find("%d places of %s were never given back", w.Held(), w.ID)
 		}
