--- a/platformentry/rate_limit_test.go
+++ b/platformentry/rate_limit_test.go
@@ -27,7 +27,7 @@
 	// rateCallers is the number of callers at each host, rateGap the time from an answer to
 	// the next request.
 	rateCallers = 2
-	rateGap     = 20 * time.Millisecond
+	rateGap     = 50 * time.Millisecond
 	// minUseOfLimit is the share of their limits that upstreams must get where demand is
 	// higher.
 	minUseOfLimit = 0.5
