quarantine: a crash that another host states too early is not that of a successor

A request was recorded against the successor of an upstream if it was sent after the upstream's first known crash. Hosts state that time by the store's clock, which each knows from its last read, whole milliseconds and the way of the answer included. A host that learned the crash from the store before its own check had ended, with a time some milliseconds before it had sent the request, took the same crash for that of a successor: two processes counted as three, and the request was refused for ten minutes.

A request counts against the successor only if it was sent longer after the crash than a process takes to start (the time by which crashes of successors are told apart already).

TestCrashThatIsStatedTooEarlyCountsOnce fails before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -283,12 +283,13 @@
 }
 
 // Process returns the name under which to record that an upstream crashed with a request that
-// was sent to it at a time. If the upstream had crashed before that, another process has taken its
-// place, which the registry does not show yet.
+// was sent to it at a time. If the upstream had crashed so long before that another process can have
+// taken its place, it is that one, which the registry does not show yet. Other hosts state the time of
+// a crash by a clock that they know roughly, so a shorter time before tells nothing.
 func (l *List) Process(upstream domain.UpstreamID, sentAt time.Time) domain.UpstreamID {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if endedAt, ended := l.ends.Entries[upstream]; ended && sentAt.After(endedAt) {
+	if endedAt, ended := l.ends.Entries[upstream]; ended && sentAt.Sub(endedAt) > sameSuccessorWindow {
 		return upstream + successorSuffix
 	}
 	return upstream
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -285,6 +285,24 @@
 	})
 }
 
+// A host states the time of a crash by the store's clock as it knows it, which may be earlier than a
+// request was sent that this crash ended too.
+func TestCrashThatIsStatedTooEarlyCountsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newList()
+		for _, upstream := range []domain.UpstreamID{"u1", "u2"} {
+			sentAt := time.Now()
+			time.Sleep(50 * time.Millisecond)
+			l.MergeStored([]ports.Strike{{Fingerprint: 7, Upstream: upstream, Suspects: 1, Age: 250 * time.Millisecond}})
+			l.RecordCrash(l.Process(upstream, sentAt), []uint64{7})
+			time.Sleep(time.Second)
+		}
+		if l.Check(7) != nil {
+			t.Error("refused after two processes crashed")
+		}
+	})
+}
+
 // A request that completes now and then, and crashes upstreams otherwise, is refused; one that
 // runs well far more often is not.
 func TestRequestThatCrashesSomeUpstreamsIsRefused(t *testing.T) {
