dispatch, platformentry: requests in flight at the end of a planned stop get an answer

Reported by another operator: requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end. It happened here: when the drain limit had passed, listeners and process ended while requests were in flight. Their handlers answered only by chance, if the closed connections to upstreams let them fail in time.

150 ms before the process would have ended, all that is in flight now ends: what has run nowhere is refused as not run, what may have run is answered as unknown, and streams that have begun are broken off. A stopping host also takes no call to a plain service that is not expected to end in time, by the mean time of the upstream that answers soonest.

--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -69,12 +69,16 @@
 	// mixedVersions holds until when a service counts as one of several software versions.
 	mixedVersions *shard.Map[traffic.ServiceName, time.Time]
 	metrics       metrics
+	// hostEnds is done once the host ends, so that all requests in flight end.
+	hostEnds context.Context
+	endAll   context.CancelFunc
 }
 
 // NewGate returns a Gate that uses cfg.
 func NewGate(cfg Config) *Gate {
 	g := &Gate{cfg: cfg, stats: newStatsMap(), metrics: newMetrics(cfg.Counters), prefillSelector: newPrefillSelector(), isolator: newIsolator(), pace: newPace(), mixedVersions: shard.NewMap[traffic.ServiceName, time.Time]()}
 	g.slots = newSlotReserver(g)
+	g.hostEnds, g.endAll = context.WithCancel(context.Background())
 	return g
 }
 
@@ -145,6 +149,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, f.answerDeadline)
 	defer cancel()
+	defer context.AfterFunc(g.hostEnds, cancel)()
 	if refusal := g.assignService(ctx, f); refusal != nil {
 		g.refuse(req, caller, refusal)
 		return
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -150,7 +150,7 @@
 	if ctx.Err() != nil {
 		g.returnReservation(reservation)
 		g.discardPrompt(prompt)
-		return n.endedRefusal(ctx)
+		return g.endedRefusal(ctx, n)
 	}
 	if refusal := g.quarantined(n.inFlight); refusal != nil {
 		g.returnReservation(reservation)
@@ -209,7 +209,7 @@
 	}
 	result := g.openOutcome(ctx, call)
 	if ctx.Err() != nil {
-		return result, n.endedRefusal(ctx)
+		return result, g.endedRefusal(ctx, n)
 	}
 	return result, n.failedRefusal("the decode engine " + string(reservation.Engine.ID) + " failed")
 }
@@ -230,7 +230,7 @@
 			"took", time.Since(n.req.Arrived).Round(time.Millisecond))
 		return outcomeAnswered, nil
 	case ctx.Err() != nil || errors.Is(err, errCallerDisconnected):
-		return outcomeIgnored, n.endedRefusal(ctx)
+		return outcomeIgnored, g.endedRefusal(ctx, n)
 	default:
 		call := asCallError(err)
 		klog.InfoS("stream lost", "request", n.req.ID, "fingerprint", n.req.Fingerprint, "decode", reservation.Engine.ID,
@@ -281,9 +281,12 @@
 	}
 }
 
-// endedRefusal is the refusal of a request whose deadline passed or whose caller
-// disconnected.
-func (n *generation) endedRefusal(ctx context.Context) *domain.Refusal {
+// endedRefusal is the refusal of a request whose deadline passed, whose caller disconnected
+// or whose host ends.
+func (g *Gate) endedRefusal(ctx context.Context, n *generation) *domain.Refusal {
+	if g.hostEnds.Err() != nil {
+		return endingRefusal(n.ran())
+	}
 	kind, message := domain.RefusalCanceled, "the caller left"
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		kind, message = domain.RefusalDeadline, "the answer was not complete in time"
--- a/dispatch/hop.go
+++ b/dispatch/hop.go
@@ -136,6 +136,8 @@
 	case h.answer != nil && !h.headSent && (!h.refused || !h.mayHaveRun):
 		h.caller.Answer(h.answer)
 		return nil
+	case h.mayHaveRun && g.hostEnds.Err() != nil:
+		return endingRefusal(domain.RanUnknown)
 	case h.mayHaveRun && ctx.Err() != nil:
 		return domain.Refuse(domain.RefusalDeadline, "no answer of another host in time",
 			"check whether the call took effect before sending it again").WithRan(domain.RanUnknown)
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -184,6 +184,8 @@
 // plainRefusal returns the reason why a call got no response.
 func (g *Gate) plainRefusal(c *plainCall) *domain.Refusal {
 	switch {
+	case c.mayHaveRun && g.hostEnds.Err() != nil:
+		return endingRefusal(domain.RanUnknown)
 	case c.mayHaveRun && !time.Now().Before(c.answerDeadline):
 		return domain.Refuse(domain.RefusalDeadline, "no upstream answered in time",
 			"check whether the call took effect before sending it again").WithRan(domain.RanUnknown)
--- a/dispatch/stopping.go
+++ b/dispatch/stopping.go
@@ -66,27 +66,58 @@
 	NoStreams bool
 }
 
-// stopsTooSoon returns the refusal of a generation that has not begun and is not expected to end
+// EndRequests ends the requests that are still in flight when the host must end: each gets its final
+// answer at once, or its stream is broken off.
+func (g *Gate) EndRequests() { g.endAll() }
+
+// stopsTooSoon returns the refusal of a request that has not begun and is not expected to end
 // before this host does, or nil. admitted says that the request was taken already, and waits. The
 // load that it answers: a rolling stop, while callers still come to the host with streams of several
-// seconds.
+// seconds, or with calls to a service that is slow.
 func (g *Gate) stopsTooSoon(f *inFlight, admitted bool) *domain.Refusal {
 	begun := f.slotNeededSince.After(f.req.Arrived)
-	if !f.isGeneration() || begun || g.cfg.Stopping == nil {
+	if begun || g.cfg.Stopping == nil {
 		return nil
 	}
 	stop, stopping := g.cfg.Stopping()
 	if !stopping {
 		return nil
 	}
-	expected := g.pace.expected(f)
+	var expected time.Duration
+	if f.isGeneration() {
+		expected = g.pace.expected(f)
+	} else {
+		expected, stop.NoStreams = g.expectedCall(f.service), false
+	}
 	if expected <= stop.Left && (admitted || !stop.NoStreams) {
 		return nil
 	}
-	klog.InfoS("stream not begun before the stop", "request", f.req.ID, "left", stop.Left, "expected", expected, "admitted", admitted)
+	klog.InfoS("request not begun before the stop", "request", f.req.ID, "left", stop.Left, "expected", expected, "admitted", admitted)
 	return leavingRefusal()
 }
 
+// expectedCall returns how long a call to a plain service is expected to take at most: the mean time
+// of the upstream that answers soonest, and a margin.
+func (g *Gate) expectedCall(service traffic.ServiceName) time.Duration {
+	now := time.Now()
+	least := time.Duration(-1)
+	for _, up := range g.cfg.Catalog.Ready(service) {
+		if mean := g.stats.forUpstream(up).health(now).meanLatency; least < 0 || mean < least {
+			least = mean
+		}
+	}
+	return time.Duration(streamTimeMargin * float64(max(0, least)))
+}
+
+// endingRefusal is the refusal of a request that is in flight when the host ends.
+func endingRefusal(ran domain.Ran) *domain.Refusal {
+	refusal := leavingRefusal().WithRan(ran)
+	if ran != domain.RanNo {
+		refusal.Remedy = "check whether the request took effect before sending it again"
+	}
+	return refusal
+}
+
 // leavingRefusal is the refusal of a host that is stopping.
 func leavingRefusal() *domain.Refusal {
 	return domain.Refuse(domain.RefusalLeaving, "this host is stopping",
--- a/platformentry/stop.go
+++ b/platformentry/stop.go
@@ -25,6 +25,9 @@
 	// drainStopMargin is the part of the drain limit that is left unused, so that the
 	// host stops before the platform kills the process.
 	drainStopMargin = 300 * time.Millisecond
+	// finalAnswerTime is the part of the drain limit in which the requests that are still in flight
+	// get their final answers.
+	finalAnswerTime = 150 * time.Millisecond
 	// inFlightPollInterval is the time between checks for requests in flight.
 	inFlightPollInterval = 20 * time.Millisecond
 )
@@ -46,16 +49,26 @@
 	d.rejecting.Store(true)
 	klog.InfoS("host takes no new work", "host", d.settings.Host, "in flight", d.inFlight.Load())
 	deadline := d.drainDeadline(start)
-	for d.inFlight.Load() > 0 && time.Now().Before(deadline) {
-		pause.For(ctx, inFlightPollInterval)
+	d.awaitRequests(ctx, deadline)
+	if left := d.inFlight.Load(); left > 0 {
+		klog.InfoS("requests ended by the stop", "host", d.settings.Host, "in flight", left)
+		d.gate.EndRequests()
+		d.awaitRequests(ctx, deadline.Add(finalAnswerTime))
 	}
 	klog.InfoS("host drained", "host", d.settings.Host, "in flight", d.inFlight.Load(), "took", time.Since(start))
 }
 
-// drainDeadline returns when requests that are still in flight are cut off in a stop that began at
+// awaitRequests waits until no request is in flight, or until a time.
+func (d *Daemon) awaitRequests(ctx context.Context, until time.Time) {
+	for d.inFlight.Load() > 0 && time.Now().Before(until) {
+		pause.For(ctx, inFlightPollInterval)
+	}
+}
+
+// drainDeadline returns when requests that are still in flight are ended in a stop that began at
 // start.
 func (d *Daemon) drainDeadline(start time.Time) time.Time {
-	return start.Add(time.Duration(d.drainLimit.Load()) - drainStopMargin)
+	return start.Add(time.Duration(d.drainLimit.Load()) - drainStopMargin - finalAnswerTime)
 }
 
 // stopping returns the state of a planned stop, or false while there is none.
