--- a/platformentry/stop_answers_test.go
+++ b/platformentry/stop_answers_test.go
@@ -119,4 +119,3 @@
 		t.Run(name, func(t *testing.T) { playTrial(t, trial.play) })
 	}
 }
-
