platform/tcp: a second connection beside one that does not open within 250 ms

All connections of a host (store, other hosts, upstreams) try another one each 250 ms beside one that does not open, at most three, and use the first that opens.

--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -122,6 +122,7 @@
 // NewOn returns a daemon as New does, whose connections and listeners are those of a network.
 func NewOn(network tcp.Network, s *settings.Settings, metricsPort int) *Daemon {
 	logging.UseKlog()
+	network = tcp.Hedged(network)
 	counterSet := counters.NewSet()
 	d := &Daemon{settings: s, network: network, catalog: catalog.New(), upstreams: upstream.NewOn(network)}
 	self := domain.Member{
