registry: hosts in touch with most others do not read the table of hosts again

The later reads are for hosts that the first one missed, which gossip tells of as well once hosts know each other.

A host that is in touch with more than half of those that the table listed reads it each 30 s only. Of hosts that know each other only, at most one group is so large; the others go on reading.

--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -144,6 +144,7 @@
 		Self: self, HostList: d.hosts, Counters: counterSet, OnRevision: d.configPeers.OnPeerVersion, ProbePeriod: membershipProbePeriod,
 		Strikes: d.quarantine,
 	})
+	d.hosts.Bind(d.confirmedHostCount)
 	d.rateLimits = ratelimit.New(ratelimit.Config{
 		Self: s.Host, GrantingHost: func(process domain.UpstreamID) domain.HostID {
 			return d.preferredHost(xxhash.Sum64String(string(process)))
@@ -225,6 +226,17 @@
 	return n
 }
 
+// confirmedHostCount returns the number of other hosts that answered lately, themselves or to others.
+func (d *Daemon) confirmedHostCount() int {
+	n := 0
+	for _, m := range d.members.Members() {
+		if m.ID != d.settings.Host && m.State == domain.MemberAlive && m.Incarnation > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // Run serves until ctx is done, then shuts down gracefully. If a listener fails, it
 // returns the error without draining.
 func (d *Daemon) Run(ctx context.Context) error {
