dispatch: a test of calls that a stopping host cannot finish

The change that ends requests in flight with a planned stop also refuses such calls, which no test showed. TestStoppingHostTakesNoCallThatItCannotFinish fails without it: a call of 2 s is taken with 100 ms left.

--- a/dispatch/stopping_test.go
+++ b/dispatch/stopping_test.go
@@ -90,3 +90,24 @@
 		}
 	})
 }
+
+// A stopping host must leave calls to other hosts that a slow service would answer after its end.
+func TestStoppingHostTakesNoCallThatItCannotFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.call = func(*traffic.Upstream) (*traffic.Answer, error) {
+			time.Sleep(2 * time.Second)
+			return &traffic.Answer{Status: 200}, nil
+		}
+		for range 20 {
+			f.serve("/once/x", &fakeCaller{}) // It learns the time of calls.
+		}
+		for left, taken := range map[time.Duration]bool{100 * time.Millisecond: false, 7 * time.Second: true} {
+			f.gate.cfg.Stopping = func() (Stop, bool) { return Stop{Left: left, NoStreams: true}, true }
+			r := f.serve("/once/x", &fakeCaller{}).refusal
+			if taken != (r == nil) || r != nil && (r.Kind != domain.RefusalLeaving || r.Ran != domain.RanNo) {
+				t.Errorf("with %s left: refusal %+v, want it taken: %t", left, r, taken)
+			}
+		}
+	})
+}
