--- /dev/null
+++ b/review/standin/deployment.go
@@ -0,0 +1,359 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"greengagespoke/platform/platformtest"
+)
+
+const (
+	// hostCommand is the command of the role in the deploy file.
+	hostCommand = "target/greengagespoke serve --metrics-port 9464"
+	// publicName is the name under which clients reach the system.
+	publicName = "review.example"
+	// startTimeout bounds the time until a process is ready.
+	startTimeout = 15 * time.Second
+	// memoryLimitMB is the memory of a machine of the site.
+	memoryLimitMB = 134
+	// drainTime is drain_ms of the site, graceTime its grace_s.
+	drainTime = 2 * time.Second
+	graceTime = 8 * time.Second
+)
+
+// deployment is a small system with its platform.
+type deployment struct {
+	store  *platformtest.Store
+	dir    string
+	root   string
+	subnet int
+	lastIP int
+	record *record
+
+	mu      sync.Mutex
+	hosts   []*process
+	workers []*process
+	// runs holds the requests that workers said they run.
+	runs map[string]int
+}
+
+// record is what was sent, answered and run, with the time since the start.
+type record struct {
+	mu    sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+func (r *record) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.file, "%8.3f "+format+"\n", append([]any{time.Since(r.start).Seconds()}, args...)...)
+}
+
+// troubled reports whether the case is played with its disruption.
+func troubled() bool { return os.Getenv("TROUBLE") != "0" }
+
+// newDeployment starts the platform. caseDir is the folder of the case.
+func newDeployment(caseDir string) (*deployment, error) {
+	root, err := os.Getwd()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	file, err := os.Create(filepath.Join(caseDir, "record.txt"))
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{
+		store: platformtest.NewStore(), dir: dir, root: root, subnet: 1<<8 + rand.IntN(250<<8),
+		record: &record{file: file, start: time.Now()}, runs: make(map[string]int),
+	}
+	d.record.add("played with the disruption: %v", troubled())
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		d.close()
+		os.Exit(exitFailed)
+	}()
+	return d, nil
+}
+
+// close ends all processes that the case started.
+func (d *deployment) close() {
+	d.mu.Lock()
+	all := append(append([]*process{}, d.hosts...), d.workers...)
+	d.mu.Unlock()
+	for _, p := range all {
+		p.kill()
+	}
+	d.store.Close()
+	_ = d.record.file.Close()
+	_ = os.RemoveAll(d.dir)
+}
+
+// nextIP returns a loopback address that no other process of the case has.
+func (d *deployment) nextIP() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.lastIP++
+	return fmt.Sprintf("127.%d.%d.%d", d.subnet>>8, d.subnet&255, d.lastIP)
+}
+
+// freeAddress returns an address with a free port of an IP number.
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0")) //nolint:noctx // Loopback.
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// process is a process that the case started.
+type process struct {
+	name    string
+	command *exec.Cmd
+	exited  chan struct{}
+	// front is the address for clients, ready that of the platform's check.
+	front, ready string
+	address      string
+	ended        bool
+	mu           sync.Mutex
+}
+
+func (d *deployment) start(name string, env []string, logTo io.Writer, words ...string) (*process, error) {
+	command := exec.Command(words[0], words[1:]...) //nolint:noctx // Ended by signals.
+	command.Dir = d.root
+	command.Env = append([]string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG")}, env...)
+	command.Stdout, command.Stderr = logTo, logTo
+	if err := command.Start(); err != nil {
+		return nil, fmt.Errorf("cannot start %s: %w", words[0], err)
+	}
+	p := &process{name: name, command: command, exited: make(chan struct{})}
+	go func() {
+		_ = command.Wait()
+		p.mu.Lock()
+		p.ended = true
+		p.mu.Unlock()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+// signal sends a signal unless the process has ended.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ended {
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// startHost starts a host with settings like those of the site.
+func (d *deployment) startHost(name, zone string) (*process, error) {
+	ip := d.nextIP()
+	addresses := make([]string, 4)
+	for i := range addresses {
+		var err error
+		if addresses[i], err = freeAddress(ip); err != nil {
+			return nil, err
+		}
+	}
+	settings := map[string]any{
+		"node": name, "role": "entry", "machine_class": "edge", "serves": []string{"edge", "control", "directory"},
+		"ip": ip, "zone": zone, "region": "dakar",
+		"listen": map[string]string{"front": addresses[0], "ready": addresses[1], "directory": addresses[2], "control": addresses[3]},
+		"limits": map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": memoryLimitMB, "max_fds": 4100},
+		"bounds": map[string]any{
+			"contact_ms": 3000, "drain_ms": drainTime.Milliseconds(), "grace_s": graceTime.Seconds(), "loss_slack_ms": 200,
+			"config_apply_ms": 2000, "retry_budget_ratio": 0.2, "budget_extra": 58, "budget_window_s": 10, "lease_ms": 3000, "ttl_max_s": 5,
+		},
+		"platform": map[string]any{"address": d.store.Address(), "form": "table"},
+	}
+	text, err := json.Marshal(settings)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(d.settingsPath(name), text, 0o600); err != nil {
+		return nil, err
+	}
+	return d.runHost(&process{name: name, front: addresses[0], ready: addresses[1]})
+}
+
+func (d *deployment) settingsPath(name string) string { return filepath.Join(d.dir, name+".json") }
+
+// restartHost starts a host again whose process has ended.
+func (d *deployment) restartHost(before *process) (*process, error) {
+	<-before.exited
+	return d.runHost(before)
+}
+
+// runHost starts the process of a host with its settings file.
+func (d *deployment) runHost(like *process) (*process, error) {
+	name := like.name
+	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p, err := d.start(name, []string{"GREENGAGESPOKE_CONFIG=" + d.settingsPath(name)}, log, strings.Fields(hostCommand)...)
+	if err != nil {
+		return nil, err
+	}
+	p.front, p.ready = like.front, like.ready
+	d.mu.Lock()
+	d.hosts = append(d.hosts, p)
+	d.mu.Unlock()
+	d.record.add("host %s started", name)
+	return p, nil
+}
+
+// awaitReady waits until the platform's check of each host says that it is ready.
+func (d *deployment) awaitReady(ctx context.Context) error {
+	for _, h := range d.hosts {
+		for {
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ready+"/-/ready", nil)
+			if err != nil {
+				return err
+			}
+			resp, err := http.DefaultClient.Do(req)
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Since(d.record.start) > startTimeout || ctx.Err() != nil {
+				return errors.New("a host is not ready")
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// startWorker starts a worker process. What it writes goes to the record.
+func (d *deployment) startWorker(id string, flags ...string) (*process, error) {
+	address, err := freeAddress(d.nextIP())
+	if err != nil {
+		return nil, err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	reader, writer := io.Pipe()
+	p, err := d.start(id, nil, writer, append([]string{self, "worker", "-id", id, "-listen", address}, flags...)...)
+	if err != nil {
+		return nil, err
+	}
+	p.address = address
+	listening := make(chan struct{})
+	go func() {
+		var once sync.Once
+		for lines := bufio.NewScanner(reader); lines.Scan(); {
+			once.Do(func() { close(listening) })
+			d.noteRun(lines.Text())
+			d.record.add("worker %s: %s", id, lines.Text())
+		}
+	}()
+	go func() { <-p.exited; d.record.add("worker %s: its process has ended", id); _ = writer.Close() }()
+	d.mu.Lock()
+	d.workers = append(d.workers, p)
+	d.mu.Unlock()
+	select {
+	case <-listening:
+		return p, nil
+	case <-time.After(startTimeout):
+		return nil, fmt.Errorf("worker %s does not listen", id)
+	}
+}
+
+// noteRun notes a run if a line of a worker says so.
+func (d *deployment) noteRun(line string) {
+	text, found := strings.CutPrefix(line, "runs request ")
+	if !found {
+		return
+	}
+	id, _, _ := strings.Cut(text, " ")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.runs[id]++
+}
+
+// ran reports whether a worker ran a request.
+func (d *deployment) ran(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.runs[id] > 0
+}
+
+// register writes the entry of a worker, as the worker itself does.
+func (d *deployment) register(p *process, service, zone, stage, state string, born int64) {
+	entry := map[string]any{
+		"service": service, "address": p.address, "zone": zone, "version": "v1", "slots": 64, "state": state,
+		"cold_left_ms": 0, "seq": 1, "born": born,
+	}
+	if stage != "" {
+		entry["stage"] = stage
+	}
+	d.store.Put("servers", p.name, entry)
+	d.record.add("the store accepted of worker %s: %s", p.name, state)
+}
+
+// route is a route of the configuration.
+type route struct {
+	name, kind, service string
+	timeout             time.Duration
+	attempts            int
+	engine, resume      bool
+}
+
+// configure writes a configuration, as the operator does.
+func (d *deployment) configure(version int, routes []route) {
+	var list, services []any
+	seen := make(map[string]bool)
+	for _, r := range routes {
+		list = append(list, map[string]any{
+			"name": r.name, "host": publicName, "prefix": "/" + r.name + "/", "kind": r.kind, "timeout_ms": r.timeout.Milliseconds(),
+			"target_latency_ms": 1000, "priority": 1, "service": r.service, "max_attempts": r.attempts,
+			"sticky": r.engine, "can_resume": r.resume, "gap_target_ms": 300,
+		})
+		if seen[r.service] {
+			continue
+		}
+		seen[r.service] = true
+		service := map[string]any{"name": r.service, "max_conns": 370}
+		if r.engine {
+			service["engine"] = map[string]any{"slots": 64, "kv_capacity_tokens": 42754, "kv_hold_s": 0.5, "hold_ms": 2000}
+		}
+		services = append(services, service)
+	}
+	d.store.Put("op", "config", map[string]any{
+		"version": version, "routes": list, "services": services,
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 10000, "idle_timeout_ms": 10000},
+	})
+	d.record.add("the store accepted configuration %d", version)
+}
