--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(args []string) (int, error){
 	"worker":   runWorker,
 	"unframed": runUnframed,
+	"uploads":  runUploads,
 }
 
 func main() {
