--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -19,7 +18,9 @@
 	"syscall"
 	"time"
 
+	"greengagespoke/internal/httplimit"
 	"greengagespoke/platform/platformtest"
+	"greengagespoke/platform/wire"
 )
 
 const (
@@ -31,9 +32,8 @@
 	startTimeout = 15 * time.Second
 	// memoryLimitMB is the memory of a machine of the site.
 	memoryLimitMB = 134
-	// drainTime is drain_ms of the site, graceTime its grace_s.
+	// drainTime is drain_ms of the site.
 	drainTime = 2 * time.Second
-	graceTime = 8 * time.Second
 )
 
 // deployment is a small system with its platform.
@@ -182,18 +182,10 @@
 			return nil, err
 		}
 	}
-	settings := map[string]any{
-		"node": name, "role": "entry", "machine_class": "edge", "serves": []string{"edge", "control", "directory"},
-		"ip": ip, "zone": zone, "region": "dakar",
-		"listen": map[string]string{"front": addresses[0], "ready": addresses[1], "directory": addresses[2], "control": addresses[3]},
-		"limits": map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": memoryLimitMB, "max_fds": 4100},
-		"bounds": map[string]any{
-			"contact_ms": 3000, "drain_ms": drainTime.Milliseconds(), "grace_s": graceTime.Seconds(), "loss_slack_ms": 200,
-			"config_apply_ms": 2000, "retry_budget_ratio": 0.2, "budget_extra": 58, "budget_window_s": 10, "lease_ms": 3000, "ttl_max_s": 5,
-		},
-		"platform": map[string]any{"address": d.store.Address(), "form": "table"},
-	}
-	text, err := json.Marshal(settings)
+	text, err := message("settings.json", map[string]any{
+		"Name": name, "IP": ip, "Zone": zone, "MemoryMB": memoryLimitMB, "Drain": drainTime, "Store": d.store.Address(),
+		"Front": addresses[0], "Ready": addresses[1], "Directory": addresses[2], "Control": addresses[3],
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -230,15 +222,18 @@
 	return p, nil
 }
 
+// platformClient makes the platform's checks.
+var platformClient = &http.Client{Transport: httplimit.Transport(&http.Transport{})}
+
 // awaitReady waits until the platform's check of each host says that it is ready.
 func (d *deployment) awaitReady(ctx context.Context) error {
 	for _, h := range d.hosts {
 		for {
-			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ready+"/-/ready", nil)
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.ready+wire.PathReady, nil)
 			if err != nil {
 				return err
 			}
-			resp, err := http.DefaultClient.Do(req)
+			resp, err := platformClient.Do(req)
 			if err == nil {
 				_ = resp.Body.Close()
 				if resp.StatusCode == http.StatusOK {
@@ -311,49 +306,39 @@
 }
 
 // register writes the entry of a worker, as the worker itself does.
-func (d *deployment) register(p *process, service, zone, stage, state string, born int64) {
-	entry := map[string]any{
-		"service": service, "address": p.address, "zone": zone, "version": "v1", "slots": 64, "state": state,
-		"cold_left_ms": 0, "seq": 1, "born": born,
-	}
-	if stage != "" {
-		entry["stage"] = stage
+func (d *deployment) register(p *process, service, zone, stage, state string, born int64) error {
+	text, err := message("entry.json", map[string]any{
+		"Service": service, "Address": p.address, "Zone": zone, "State": state, "Stage": stage, "Born": born,
+	})
+	if err != nil {
+		return err
 	}
-	d.store.Put("servers", p.name, entry)
+	d.store.PutRaw(wire.TableUpstreams, p.name, text)
 	d.record.add("the store accepted of worker %s: %s", p.name, state)
+	return nil
 }
 
-// route is a route of the configuration.
+// route is a route of the configuration. Its fields are those of the message.
 type route struct {
-	name, kind, service string
-	timeout             time.Duration
-	attempts            int
-	engine, resume      bool
+	Name, Kind, Service string
+	Timeout             time.Duration
+	Attempts            int
+	Engine, Resume      bool
+}
+
+// service is a service of the configuration.
+type service struct {
+	Name   string
+	Engine bool
 }
 
 // configure writes a configuration, as the operator does.
-func (d *deployment) configure(version int, routes []route) {
-	var list, services []any
-	seen := make(map[string]bool)
-	for _, r := range routes {
-		list = append(list, map[string]any{
-			"name": r.name, "host": publicName, "prefix": "/" + r.name + "/", "kind": r.kind, "timeout_ms": r.timeout.Milliseconds(),
-			"target_latency_ms": 1000, "priority": 1, "service": r.service, "max_attempts": r.attempts,
-			"sticky": r.engine, "can_resume": r.resume, "gap_target_ms": 300,
-		})
-		if seen[r.service] {
-			continue
-		}
-		seen[r.service] = true
-		service := map[string]any{"name": r.service, "max_conns": 370}
-		if r.engine {
-			service["engine"] = map[string]any{"slots": 64, "kv_capacity_tokens": 42754, "kv_hold_s": 0.5, "hold_ms": 2000}
-		}
-		services = append(services, service)
+func (d *deployment) configure(version int, services []service, routes []route) error {
+	text, err := message("config.json", map[string]any{"Version": version, "Host": publicName, "Routes": routes, "Services": services})
+	if err != nil {
+		return err
 	}
-	d.store.Put("op", "config", map[string]any{
-		"version": version, "routes": list, "services": services,
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 10000, "idle_timeout_ms": 10000},
-	})
+	d.store.PutRaw(wire.TableOperator, wire.KeyConfig, text)
 	d.record.add("the store accepted configuration %d", version)
+	return nil
 }
--- a/review/standin/unframed.go
+++ b/review/standin/unframed.go
@@ -10,6 +10,10 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"greengagespoke/internal/httplimit"
+	"greengagespoke/platform/platformtest"
+	"greengagespoke/platform/wire"
 )
 
 const (
@@ -33,10 +37,13 @@
 	defer d.close()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
 	defer cancel()
-	d.configure(1, []route{
-		{name: "section-captions", kind: "streaming", service: "drafting-models", timeout: streamDeadline, attempts: 1, engine: true},
-		{name: "plan-notes", kind: "streaming", service: "drafting-models", timeout: streamDeadline, attempts: 2, engine: true, resume: true},
+	err = d.configure(1, []service{{Name: "drafting-models", Engine: true}}, []route{
+		{Name: "section-captions", Kind: platformtest.KindStream, Service: "drafting-models", Timeout: streamDeadline, Attempts: 1, Engine: true},
+		{Name: "plan-notes", Kind: platformtest.KindStream, Service: "drafting-models", Timeout: streamDeadline, Attempts: 2, Engine: true, Resume: true},
 	})
+	if err != nil {
+		return exitFailed, err
+	}
 	born := time.Now().UnixMilli()
 	var workers []*process
 	for i := range 2 {
@@ -46,7 +53,9 @@
 			return exitFailed, err
 		}
 		workers = append(workers, w)
-		d.register(w, "drafting-models", "dakar-a", "decode", "ready", born+int64(i))
+		if err := d.register(w, "drafting-models", "dakar-a", "decode", "ready", born+int64(i)); err != nil {
+			return exitFailed, err
+		}
 	}
 	for i := range 3 {
 		if _, err := d.startHost(fmt.Sprintf("edge-%d", i+1), "dakar-a"); err != nil {
@@ -65,7 +74,9 @@
 	}
 	time.Sleep(time.Second)
 	if troubled() {
-		d.register(workers[0], "drafting-models", "dakar-a", "decode", "draining", born)
+		if err := d.register(workers[0], "drafting-models", "dakar-a", "decode", "draining", born); err != nil {
+			return exitFailed, err
+		}
 		time.Sleep(drainTime + lingerTime)
 		workers[0].signal(syscall.SIGTERM)
 	}
@@ -109,13 +120,15 @@
 		return r
 	}
 	req.Host = publicName
-	req.Header.Set("Greengagespoke-Request-Id", id)
-	req.Header.Set("Greengagespoke-Deadline-Ms", strconv.FormatInt(streamDeadline.Milliseconds(), 10))
-	req.Header.Set("Greengagespoke-Model", "m")
-	req.Header.Set("Greengagespoke-Token-Count", "3200,160")
-	req.Header.Set("Greengagespoke-Prompt-Prefix", "5c1e07a2:200,"+id+":3000")
+	headers, err := message("stream.txt", id)
+	if err != nil {
+		return r
+	}
+	setHeaders(req.Header, headers)
+	req.Header.Set(wire.HeaderRequestID, id)
+	wire.SetDeadline(req.Header, streamDeadline)
 	d.record.add("client sends stream request %s (%s) to %s", id, name, h.name)
-	resp, err := (&http.Client{Transport: &http.Transport{DisableCompression: true}}).Do(req)
+	resp, err := (&http.Client{Transport: httplimit.Transport(&http.Transport{DisableCompression: true})}).Do(req)
 	if err != nil {
 		d.record.add("client got no response to %s: %v", id, err)
 		return r
@@ -123,6 +136,6 @@
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	r.status, r.whole, r.events = resp.StatusCode, err == nil, bytes.Count(body, []byte("\ndata: "))
-	d.record.add("client got of %s: status %d, seal %q, %d events, complete: %v (%v)", id, r.status, resp.Header.Get("Greengagespoke-Server-Seal"), r.events, r.whole, err)
+	d.record.add("client got of %s: status %d, seal %q, %d events, complete: %v (%v)", id, r.status, resp.Header.Get(wire.HeaderSeal), r.events, r.whole, err)
 	return r
 }
--- a/review/standin/uploads.go
+++ b/review/standin/uploads.go
@@ -16,6 +16,10 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"greengagespoke/internal/httplimit"
+	"greengagespoke/platform/platformtest"
+	"greengagespoke/platform/wire"
 )
 
 const (
@@ -123,17 +127,22 @@
 	defer d.close()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
 	defer cancel()
-	d.configure(1, []route{
-		{name: "closure-filing", kind: "non_idempotent", service: "field-ledger", timeout: uploadDeadline, attempts: 1},
-		{name: "loop-status", kind: "idempotent", service: "field-ledger", timeout: uploadDeadline, attempts: 2},
+	err = d.configure(1, []service{{Name: "field-ledger"}}, []route{
+		{Name: "closure-filing", Kind: platformtest.KindOnce, Service: "field-ledger", Timeout: uploadDeadline, Attempts: 1},
+		{Name: "loop-status", Kind: platformtest.KindRepeat, Service: "field-ledger", Timeout: uploadDeadline, Attempts: 2},
 	})
+	if err != nil {
+		return exitFailed, err
+	}
 	born := time.Now().UnixMilli()
 	for i := range 3 {
 		w, err := d.startWorker(fmt.Sprintf("ledger-%d", i+1), "-work", uploadWork.String())
 		if err != nil {
 			return exitFailed, err
 		}
-		d.register(w, "field-ledger", "dakar-a", "", "ready", born)
+		if err := d.register(w, "field-ledger", "dakar-a", "", "ready", born); err != nil {
+			return exitFailed, err
+		}
 	}
 	var machines []*machine
 	for i := range 3 {
@@ -217,7 +226,7 @@
 func (d *deployment) uploads(ctx context.Context, machines []*machine, n int, end time.Time) []upload {
 	var all []upload
 	body := bytes.Repeat([]byte("x"), uploadBytes)
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true, IdleConnTimeout: keptTime}}
+	client := &http.Client{Transport: httplimit.Transport(&http.Transport{DisableCompression: true, IdleConnTimeout: keptTime})}
 	at := n % len(machines)
 	for k := 0; time.Now().Before(end); k++ {
 		// A crew looks up the status, and files a closure on the same connection.
@@ -260,8 +269,8 @@
 	}
 	req.GetBody = nil // Each closure is sent once.
 	req.Host = publicName
-	req.Header.Set("Greengagespoke-Request-Id", u.id)
-	req.Header.Set("Greengagespoke-Deadline-Ms", strconv.FormatInt(uploadDeadline.Milliseconds(), 10))
+	req.Header.Set(wire.HeaderRequestID, u.id)
+	wire.SetDeadline(req.Header, uploadDeadline)
 	resp, err := client.Do(req)
 	if err != nil {
 		var dialed *net.OpError
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -16,6 +16,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"greengagespoke/platform/wire"
 )
 
 // worker is a worker of a service, or a decode engine.
@@ -98,17 +100,17 @@
 
 // answer answers a request and reports whether the connection goes on.
 func (w *worker) answer(conn net.Conn, req *http.Request, size int) bool {
-	id := req.Header.Get("Greengagespoke-Request-Id")
-	if want := req.Header.Get("Greengagespoke-Expect-Instance"); want != "" && want != w.id {
+	id := req.Header.Get(wire.HeaderRequestID)
+	if want := req.Header.Get(wire.HeaderExpectInstance); want != "" && want != w.id {
 		return w.reply(conn, "421 Misdirected Request", id, "", "")
 	}
 	switch {
-	case req.URL.Path == "/-/report":
-		return w.replyJSON(conn, id, map[string]any{"stage": w.stage, "busy": false, "seq": 0, "queued": 0, "running": 0, "kv_used": 0, "kv_total": 42754, "kv_handles": 0, "born": w.born})
-	case req.URL.Path == "/-/hold-take":
-		return w.replyJSON(conn, id, map[string]any{"hold": w.id + "-" + strconv.FormatInt(w.next.Add(1), 10)})
-	case strings.HasPrefix(req.URL.Path, "/-/"):
-		return w.replyJSON(conn, id, map[string]any{})
+	case req.URL.Path == wire.PathReport:
+		return w.replyJSON(conn, id, wire.EngineReport{Stage: w.stage, Born: float64(w.born)})
+	case req.URL.Path == wire.PathReserve:
+		return w.replyJSON(conn, id, wire.ReserveResult{Hold: w.id + "-" + strconv.FormatInt(w.next.Add(1), 10)})
+	case strings.HasPrefix(req.URL.Path, wire.PathDropHold), strings.HasPrefix(req.URL.Path, wire.PathDropHandle):
+		return w.replyJSON(conn, id, struct{}{})
 	case w.stage == "decode":
 		return w.stream(conn, req, id)
 	}
@@ -136,14 +138,14 @@
 	if id == "" {
 		return ""
 	}
-	return "Greengagespoke-Request-Id: " + id + "\r\n"
+	return wire.HeaderRequestID + ": " + id + "\r\n"
 }
 
 func sealHeader(seal string) string {
 	if seal == "" {
 		return ""
 	}
-	return "Greengagespoke-Server-Seal: " + seal + "\r\n"
+	return wire.HeaderSeal + ": " + seal + "\r\n"
 }
 
 // stream sends the events of a stream after the last one that the caller has.
