--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -118,13 +118,18 @@
 	return fmt.Sprintf("127.%d.%d.%d", d.subnet>>8, d.subnet&255, d.lastIP)
 }
 
-// freeAddress returns an address with a free port of an IP number.
-func freeAddress(ip string) (string, error) {
-	l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0")) //nolint:noctx // Loopback.
-	if err != nil {
-		return "", err
+// freeAddresses returns addresses with different free ports of an IP number.
+func freeAddresses(ip string, n int) ([]string, error) {
+	addresses := make([]string, n)
+	for i := range addresses {
+		l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0")) //nolint:noctx // Loopback.
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }() // All are open at once, so that no port comes twice.
+		addresses[i] = l.Addr().String()
 	}
-	return l.Addr().String(), l.Close()
+	return addresses, nil
 }
 
 // process is a process that the case started.
@@ -175,12 +180,9 @@
 // startHost starts a host with settings like those of the site.
 func (d *deployment) startHost(name, zone string) (*process, error) {
 	ip := d.nextIP()
-	addresses := make([]string, 4)
-	for i := range addresses {
-		var err error
-		if addresses[i], err = freeAddress(ip); err != nil {
-			return nil, err
-		}
+	addresses, err := freeAddresses(ip, 4)
+	if err != nil {
+		return nil, err
 	}
 	text, err := message("settings.json", map[string]any{
 		"Name": name, "IP": ip, "Zone": zone, "MemoryMB": memoryLimitMB, "Drain": drainTime, "Store": d.store.Address(),
@@ -241,7 +243,10 @@
 				}
 			}
 			if time.Since(d.record.start) > startTimeout || ctx.Err() != nil {
-				return errors.New("a host is not ready")
+				if log, err := os.ReadFile(filepath.Join(d.dir, h.name+".log")); err == nil {
+					d.record.add("log of %s:\n%s", h.name, log)
+				}
+				return errors.New("a host is not ready; its log is in the record")
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
@@ -251,10 +256,11 @@
 
 // startWorker starts a worker process. What it writes goes to the record.
 func (d *deployment) startWorker(id string, flags ...string) (*process, error) {
-	address, err := freeAddress(d.nextIP())
+	addresses, err := freeAddresses(d.nextIP(), 1)
 	if err != nil {
 		return nil, err
 	}
+	address := addresses[0]
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
