traffic, ports, peerrpc: types and messages for customers and their quotas

Cause: the parts for customers, quotas and urgency are built side by side and need the same types and the same messages between hosts. Change: traffic has credentials, customers and quotas, peerrpc has QuotaService. Nothing uses them yet; hosts without an implementation answer as hosts of the last release do.

--- a/adapters/peerrpc/peers.go
+++ b/adapters/peerrpc/peers.go
@@ -60,6 +60,7 @@
 	rates   rateClient
 	origins originClient
 	reach   reachClient
+	quotas  quotaClient
 }
 
 // NewPeers returns clients for the other hosts in the membership.
@@ -169,6 +170,14 @@
 	return unreachable{}
 }
 
+// Quotas returns a client for a host that grants tokens of customers' quotas.
+func (p *Peers) Quotas(host domain.HostID) ports.QuotaPeer {
+	if set, ok := p.remote(host); ok {
+		return set.quotas
+	}
+	return unreachable{}
+}
+
 // localFor returns the local implementations if host is this host, and none
 // otherwise.
 func (p *Peers) localFor(host domain.HostID) Local {
@@ -220,5 +229,6 @@
 		rates:   rateClient{host, peerpb.NewRateServiceProtobufClient(base, p.client)},
 		origins: originClient{host, peerpb.NewOriginServiceProtobufClient(base, p.client)},
 		reach:   reachClient{host, peerpb.NewReachServiceProtobufClient(base, p.client)},
+		quotas:  quotaClient{host, peerpb.NewQuotaServiceProtobufClient(base, p.client)},
 	}
 }
--- a/adapters/peerrpc/server.go
+++ b/adapters/peerrpc/server.go
@@ -34,6 +34,7 @@
 	peerpb.RateServicePathPrefix:   serviceRates,
 	peerpb.OriginServicePathPrefix: serviceOrigins,
 	peerpb.ReachServicePathPrefix:  serviceReach,
+	peerpb.QuotaServicePathPrefix:  serviceQuotas,
 }
 
 // ServerConfig holds the local implementations that other hosts may call, and the
@@ -55,6 +56,9 @@
 	// Reach tells what this host reaches. If it is nil, calls fail with
 	// ports.ErrPeerUnreachable.
 	Reach ports.ReachPeer
+	// Quotas grants tokens of customers' quotas. If it is nil, calls fail with
+	// ports.ErrPeerUnreachable.
+	Quotas ports.QuotaPeer
 	// Key is the secret that all hosts share.
 	Key string
 	// ClockSkew is the largest accepted difference between the wall clocks of two
@@ -77,6 +81,7 @@
 		peerpb.NewRateServiceServer(rateService{cfg.Rates}),
 		peerpb.NewOriginServiceServer(originService{cfg.Origins}),
 		peerpb.NewReachServiceServer(reachService{cfg.Reach}),
+		peerpb.NewQuotaServiceServer(quotaService{cfg.Quotas}),
 	} {
 		mux.Handle(s.PathPrefix(), s)
 	}
--- a/adapters/peerrpc/traffic.go
+++ b/adapters/peerrpc/traffic.go
@@ -21,9 +21,10 @@
 	serviceRates   service = "rates"
 	serviceOrigins service = "origins"
 	serviceReach   service = "reach"
+	serviceQuotas  service = "quotas"
 )
 
-var services = []service{serviceKeeper, serviceGossip, serviceTables, serviceGate, serviceRelay, serviceRates, serviceOrigins, serviceReach}
+var services = []service{serviceKeeper, serviceGossip, serviceTables, serviceGate, serviceRelay, serviceRates, serviceOrigins, serviceReach, serviceQuotas}
 
 // trafficDefs are the counter definitions of one service.
 type trafficDefs struct {
@@ -50,6 +51,7 @@
 		serviceRates:   defineTraffic(serviceRates),
 		serviceOrigins: defineTraffic(serviceOrigins),
 		serviceReach:   defineTraffic(serviceReach),
+		serviceQuotas:  defineTraffic(serviceQuotas),
 	}
 	defUnauthenticated = counters.Define("peerrpc_unauthenticated", "requests of other hosts refused because of a wrong key or clock")
 	defUnreachable     = counters.Define("peerrpc_unreachable", "calls to other hosts that got no answer")
--- a/adapters/peerrpc/unreachable.go
+++ b/adapters/peerrpc/unreachable.go
@@ -93,3 +93,13 @@
 func (unreachable) Reach(context.Context, ports.ReachQuery) (ports.ReachReply, error) {
 	return ports.ReachReply{}, ports.ErrPeerUnreachable
 }
+
+// Take implements ports.QuotaPeer.
+func (unreachable) Take(context.Context, ports.QuotaRequest) (ports.QuotaReply, error) {
+	return ports.QuotaReply{}, ports.ErrPeerUnreachable
+}
+
+// GiveBack implements ports.QuotaPeer.
+func (unreachable) GiveBack(context.Context, ports.QuotaReturn) error {
+	return ports.ErrPeerUnreachable
+}
--- a/traffic/config.go
+++ b/traffic/config.go
@@ -50,6 +50,8 @@
 	Resumable bool
 	// Generation means that requests are prompts that need prefill and decode engines.
 	Generation bool
+	// Public means that requests need no key.
+	Public bool
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -91,6 +93,9 @@
 	Routes   []Route
 	Services map[ServiceName]Service
 	Limits   Limits
+	// RequiresKeys means that requests need the key of a customer, unless their route is public.
+	RequiresKeys bool
+	Customers    []Customer
 	// Source is the encoded configuration, forwarded unchanged to other hosts.
 	Source []byte
 }
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -36,6 +36,13 @@
 	LastEventID, Resumes string
 	// Hop is set if another host passed the request on.
 	Hop *Hop
+	// Credential is that of the key that the request carries.
+	Credential Credential
+	// Customer is who sent the request, nil if it is not known. HidesCredential means that the
+	// configuration has customers, so that upstreams get the name of the customer, and neither the
+	// key nor a name that the caller states.
+	Customer        *Customer
+	HidesCredential bool
 	// Message holds the adapter's data for forwarding the request.
 	Message any
 }
