dispatch: responses without a length of upstreams that leave

The check whether a process has ended asked only of ready upstreams, and a process that could not be reached counted as one that runs. Change: the process is asked after for upstreams in every state; a response counts as complete only if a process still listens at the address, or refuses this host alone. Result: TestUnframedResponses has the cases; plain-leaving-exit, stream-leaving-exit and resumable-leaving-exit fail without the change.

--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -66,38 +66,72 @@
 		"upstream", up.ID, "role", up.Role, "process", process)
 }
 
-// errEndedByCrash means that an unframed response ended because the upstream's process did.
-var errEndedByCrash = errors.New("the upstream crashed before its response, which has no length, was complete")
+// errMayBeCut means that an unframed response ended and may be incomplete.
+var errMayBeCut = errors.New("the response has no length, and its upstream's process has ended or may have")
 
-// checkUnframedEnd returns an error if an unframed response ended with the upstream's
-// process, so that it may be incomplete.
+// checkUnframedEnd returns an error if an unframed response may have ended because the upstream's
+// process did, so that it may be incomplete. That holds for upstreams that are ready, that drain and
+// that are no longer registered: those that leave exit while they still send. If it is not known
+// whether the process has ended, the response does not count as complete.
 func (g *Gate) checkUnframedEnd(ctx context.Context, f *inFlight, up *traffic.Upstream) error {
-	if !g.cfg.Catalog.Current(up) || !g.crashed(ctx, f, up) {
+	switch g.processState(ctx, f, up) {
+	case processListens:
 		return nil
+	case processRefusesHere:
+		// Only this host is refused. An upstream that leaves may have closed its listener first.
+		if g.cfg.Catalog.Current(up) {
+			return nil
+		}
+	case processUnknown, processEnded:
 	}
-	return &traffic.CallError{Effect: traffic.EffectUnknown, ConnectionLost: true, Err: errEndedByCrash}
+	return &traffic.CallError{Effect: traffic.EffectUnknown, ConnectionLost: true, Err: errMayBeCut}
 }
 
-// crashed reports whether the process of an upstream that closed a connection has ended.
-// One request at a time asks, and the others use its result.
+// crashed reports whether the process of a ready upstream that closed a connection has ended.
 func (g *Gate) crashed(ctx context.Context, f *inFlight, up *traffic.Upstream) bool {
+	return g.processState(ctx, f, up) == processEnded
+}
+
+// processState is what is known of the process of an upstream that closed a connection.
+type processState int
+
+const (
+	// processUnknown means that its address was not reached.
+	processUnknown processState = iota
+	// processListens means that a process accepts connections there.
+	processListens
+	// processRefusesHere means that connections of this host are refused there, processEnded that
+	// those of all hosts are.
+	processRefusesHere
+	processEnded
+)
+
+// processState finds out whether the process of an upstream that closed a connection accepts
+// further ones. One request at a time asks, and the others use its result.
+func (g *Gate) processState(ctx context.Context, f *inFlight, up *traffic.Upstream) processState {
 	lostAt := time.Now()
 	t := g.stats.forUpstream(up)
 	t.crashTurn.Take()
 	defer t.crashTurn.Give()
 	if t.crashCheckedAt.After(lostAt) {
-		return t.crashed
+		return t.process
 	}
-	t.crashCheckedAt, t.crashed = time.Now(), false
+	t.crashCheckedAt = time.Now()
 	// The caller may have left since.
 	listening, err := g.cfg.Upstreams.Listening(context.WithoutCancel(ctx), up)
-	if err != nil {
+	switch {
+	case err != nil:
+		t.process = processUnknown
 		g.metrics.crashesUnknown.Add(1)
 		klog.InfoS("upstream may have crashed", "request", f.req.ID, "fingerprint", f.req.Fingerprint, "upstream", up.ID, "err", err)
-		return false
+	case listening:
+		t.process = processListens
+	case g.cfg.Reach.Ended(ctx, up):
+		t.process = processEnded
+	default:
+		t.process = processRefusesHere
 	}
-	t.crashed = !listening && g.cfg.Reach.Ended(ctx, up)
-	return t.crashed
+	return t.process
 }
 
 const (
--- a/dispatch/track.go
+++ b/dispatch/track.go
@@ -81,10 +81,10 @@
 	// says is being tried.
 	mustProbe, probing bool
 
-	// crashTurn is held while a request finds out whether the process has ended; crashed
-	// says that it had at crashCheckedAt.
+	// crashTurn is held while a request finds out whether the process has ended; process is what
+	// was found at crashCheckedAt.
 	crashTurn      baton.Baton
-	crashed        bool
+	process        processState
 	crashCheckedAt time.Time
 }
 
--- a/platformentry/unframed_test.go
+++ b/platformentry/unframed_test.go
@@ -5,10 +5,14 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"greengagespoke/platform/platformtest"
 )
 
+// drainReadTime is the time within which a host reads that an upstream drains.
+const drainReadTime = 700 * time.Millisecond
+
 // A response with neither a length nor chunks is complete when its connection is closed,
 // unless that is inside an event, by a reset, or because the upstream's process has ended.
 func TestUnframedResponses(t *testing.T) {
@@ -18,6 +22,8 @@
 		// complete means that the caller must get the whole response, from the first
 		// upstream or by a resumption; otherwise it must see that it is not whole.
 		complete bool
+		// drains means that the upstream reports before that it leaves.
+		drains bool
 	}{
 		"plain":                     {path: "/filing/x", fault: platformtest.FaultUnframed, complete: true},
 		"plain-reset":               {path: "/filing/x", fault: platformtest.FaultUnframedCut},
@@ -30,24 +36,32 @@
 		"resumable-inside-event":    {path: "/note/x", fault: platformtest.FaultUnframedCut, complete: true},
 		"resumable-crash":           {path: "/note/x", fault: platformtest.FaultUnframedCrash, complete: true},
 		"resumable-crash-at-length": {path: "/note/x", fault: platformtest.FaultCrashStreaming, complete: true},
+		"plain-leaving":             {path: "/filing/x", fault: platformtest.FaultUnframed, complete: true, drains: true},
+		"plain-leaving-exit":        {path: "/filing/x", fault: platformtest.FaultUnframedCrash, drains: true},
+		"stream-leaving-exit":       {path: "/draft/x", fault: platformtest.FaultUnframedCrash, drains: true},
+		"resumable-leaving-exit":    {path: "/note/x", fault: platformtest.FaultUnframedCrash, complete: true, drains: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t, 1)
 			first := true
-			fault := func(r *http.Request) platformtest.Fault {
-				d.mu.Lock()
-				defer d.mu.Unlock()
-				if !first || r.URL.Path != c.path {
-					return platformtest.FaultNone
-				}
-				first = false
-				return c.fault
-			}
 			for _, w := range d.workers {
-				if w.Stage != "prefill" {
-					w.SetFault(fault)
+				if w.Stage == "prefill" {
+					continue
 				}
+				w.SetFault(func(r *http.Request) platformtest.Fault {
+					d.mu.Lock()
+					defer d.mu.Unlock()
+					if !first || r.URL.Path != c.path {
+						return platformtest.FaultNone
+					}
+					first = false
+					if c.drains {
+						w.Register(d.store, "draining")
+						time.Sleep(drainReadTime)
+					}
+					return c.fault
+				})
 			}
 			got := d.send(d.hosts[0], "POST", c.path, nil)
 			whole := got.status == http.StatusOK && got.err == nil
