--- a/membership/hostlist.go
+++ b/membership/hostlist.go
@@ -100,7 +100,13 @@
 	if !r.verified() {
 		r.member.PeerAddress, r.member.CallerAddress = h.PeerAddress, h.CallerAddress
 	}
-	m.applyLeavingMark(r, h.Leaving)
+	m.applyLeavingMark(r, h.Leaving && !startedSince(h, r.member))
+}
+
+// startedSince reports whether a listed host started again after it stated that it leaves. A store
+// may carry out the write of an ended process late.
+func startedSince(h ports.ListedHost, member domain.Member) bool {
+	return h.LeavingIncarnation != 0 && member.Incarnation > h.LeavingIncarnation
 }
 
 // initialListedState returns the initial state of a host that is only known from the
@@ -151,7 +157,7 @@
 // entry. A mark that is there from the first read on may be left over from the
 // host's previous run, so it has no effect until a list without the mark was read.
 func (m *Membership) applyOwnListing(h ports.ListedHost) {
-	if h.Leaving && m.seenListedWithoutMark {
+	if h.Leaving && m.seenListedWithoutMark && !startedSince(h, m.self) {
 		m.leaveLocked()
 	}
 	m.seenListedWithoutMark = m.seenListedWithoutMark || !h.Leaving
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -190,6 +190,30 @@
 	})
 }
 
+// The store may carry out the last write of an ended process after its host has started again, so that
+// the others read that it leaves. The host must stay in use: it would be out of service for good.
+func TestLeavingMarkOfAnEndedProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 9
+		c := newCluster(t, n)
+		c.await("all alive", maxColdStartTime(n), c.converged)
+		id := hostID(4)
+		ended := c.hosts[id].Self().Incarnation
+		c.kill(id)
+		time.Sleep(time.Second)
+		c.start(id)
+		c.await("alive again", maxDetectionTime(n)+maxSpreadTime(n), c.converged)
+		time.Sleep(3 * hostListInterval(n)) // All have read the list without the mark.
+		entry := listed(id)
+		entry.Leaving, entry.LeavingIncarnation = true, ended
+		c.list.set(id, entry)
+		time.Sleep(10 * hostListInterval(n))
+		if !c.converged() || c.hosts[id].Self().State != domain.MemberAlive {
+			t.Errorf("the host that started again is %s by itself, in the views of the others: %v", c.hosts[id].Self().State, c.states(id))
+		}
+	})
+}
+
 func TestHostListIsTheAuthority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const n = 9
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -144,7 +144,7 @@
 		Self: self, HostList: d.hosts, Counters: counterSet, OnRevision: d.configPeers.OnPeerVersion, ProbePeriod: membershipProbePeriod,
 		Strikes: d.quarantine,
 	})
-	d.hosts.Bind(d.confirmedHostCount)
+	d.hosts.Bind(d.confirmedHostCount, func() uint64 { return d.members.Self().Incarnation })
 	d.rateLimits = ratelimit.New(ratelimit.Config{
 		Self: s.Host, GrantingHost: func(process domain.UpstreamID) domain.HostID {
 			return d.preferredHost(xxhash.Sum64String(string(process)))
