platform/wire, catalog: customers and their keys

Cause: a configuration may have customers, whose keys requests must carry. The types are there; nothing decodes the entries or finds the customer of a key. The catalog learns whether the host's reads of the configuration fail, from the first failure on. Nothing uses the customers yet.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -21,13 +21,17 @@
 	snapshot atomic.Pointer[upstreamSnapshot]
 	registry registry
 	onApply  func(domain.Revision)
+	// configLost means that the host may lack a newer configuration.
+	configLost atomic.Bool
 }
 
 // routeIndex is a configuration with its routes grouped by host name and sorted for
-// matching.
+// matching, and its customers by their keys and names.
 type routeIndex struct {
 	config *traffic.Config
 	byHost map[string][]*traffic.Route
+	byKey  map[traffic.Credential]*traffic.Customer
+	byName map[traffic.CustomerName]*traffic.Customer
 }
 
 // New returns a catalog without configuration and upstreams.
@@ -52,7 +56,8 @@
 	}
 	c.current.Store(newRouteIndex(config))
 	klog.InfoS("configuration applied", "version", config.Version, "before", previous,
-		"routes", len(config.Routes), "services", len(config.Services), "source", source)
+		"routes", len(config.Routes), "services", len(config.Services), "customers", len(config.Customers),
+		"requires_keys", config.RequiresKeys, "source", source)
 	if c.onApply != nil {
 		c.onApply(config.Version)
 	}
@@ -71,6 +76,7 @@
 			return cmp.Compare(len(b.Prefix), len(a.Prefix))
 		})
 	}
+	index.addCustomers(config.Customers)
 	return index
 }
 
@@ -98,12 +104,16 @@
 	if index == nil {
 		return nil, nil
 	}
-	for _, r := range index.byHost[hostName(host)] {
+	return index.config, index.route(host, path)
+}
+
+func (x *routeIndex) route(host, path string) *traffic.Route {
+	for _, r := range x.byHost[hostName(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
-			return index.config, r
+			return r
 		}
 	}
-	return index.config, nil
+	return nil
 }
 
 // hostName returns the host name of a Host header: in lower case, without the port.
--- a/traffic/config.go
+++ b/traffic/config.go
@@ -96,6 +96,9 @@
 	// RequiresKeys means that requests need the key of a customer, unless their route is public.
 	RequiresKeys bool
 	Customers    []Customer
+	// HopKey is the secret under which hosts with this configuration state customers to each
+	// other. It is empty unless RequiresKeys.
+	HopKey []byte
 	// Source is the encoded configuration, forwarded unchanged to other hosts.
 	Source []byte
 }
--- a/traffic/customer.go
+++ b/traffic/customer.go
@@ -1,6 +1,10 @@
 package traffic
 
-import "crypto/sha256"
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+)
 
 // CustomerName identifies a customer in the configuration.
 type CustomerName string
@@ -68,3 +72,20 @@
 		return float64(q.PlainTokens)
 	}
 }
+
+// HopMAC returns the MAC of the name of a request's customer, for another host that has the same
+// configuration.
+func (c *Config) HopMAC(requestID string, name CustomerName) []byte {
+	mac := hmac.New(sha256.New, c.HopKey)
+	// The length keeps identifiers and names apart.
+	_, _ = mac.Write(binary.BigEndian.AppendUint64(nil, uint64(len(requestID)))) // Writes to a hash do not fail.
+	_, _ = mac.Write([]byte(requestID))
+	_, _ = mac.Write([]byte(name))
+	return mac.Sum(nil)
+}
+
+// StatedBy reports whether a host with the same configuration stated the customer of a request.
+// It takes the same time for all MACs.
+func (c *Config) StatedBy(requestID string, hop *Hop) bool {
+	return len(c.HopKey) > 0 && hop.Customer != "" && hmac.Equal(hop.CustomerMAC, c.HopMAC(requestID, hop.Customer))
+}
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -248,6 +248,11 @@
 	// Grant is nil for hosts of a release that knows no grants. Such a host neither states nor
 	// hears of processes that the request was sent to.
 	Grant *Grant
+	// Customers means that the configuration at the other host has customers. Customer is the
+	// name of the request's, empty if it has none, and CustomerMAC its Config.HopMAC.
+	Customers   bool
+	Customer    CustomerName
+	CustomerMAC []byte
 }
 
 // HopOptions are the options of a request that is passed on to another host.
