dispatch, platform/ingress: requests carry the key of a customer

Cause: where the configuration has customers, requests without a key were served, keys reached upstreams and other hosts, and callers could state any name. Change: a request is authenticated before its body is read and again when it is served; 401 or 503 is written without reading the body. Every message to an upstream or another host is made from one function, which replaces the key by the customer's name. A request that is passed on states the customer with a MAC; hosts decline one without it, and hosts of the last release, which would drop the name, do not get the request without a grant.

--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -35,6 +35,10 @@
 	defHopsFailed           = counters.Define("dispatch_hops_failed", "those that the other host did not serve")
 	defHopsGivenUp          = counters.Define("dispatch_hops_given_up", "those that were given up by a time limit before the deadline, while the other host had them")
 	defForgotten            = counters.Define("dispatch_upstreams_forgotten", "upstreams that a request had been sent to and that no longer count for its attempts, as it did not reach the process")
+	defKeysMissing          = counters.Define("dispatch_keys_missing", "requests that were refused because they carry no key")
+	defKeysUnknown          = counters.Define("dispatch_keys_unknown", "requests that were refused because no customer has their key")
+	defKeysUndecided        = counters.Define("dispatch_keys_undecided", "requests that were refused because their key may be that of a newer configuration")
+	defForCustomers         = counters.Define("dispatch_for_customers", "requests of callers that carried the key of a customer and were accepted")
 	defPrefillWasted        = counters.Define("dispatch_prefill_wasted", "prefilled prompts that were discarded unused")
 )
 
@@ -43,7 +47,8 @@
 	reservations, reservationsRejected, prefillsWasted, prefillBusy,
 	connectionsLost, crashes, crashesAbandoned, crashesUnknown, isolated, rateLimited,
 	streamsTakenUp, streamsResumed, streamsMalformed, streamsOtherVersion, versionsGone,
-	notReached, silent, passedOn, hopsFailed, hopsGivenUp, forgotten *expvar.Int
+	notReached, silent, passedOn, hopsFailed, hopsGivenUp, forgotten,
+	keysMissing, keysUnknown, keysUndecided, forCustomers *expvar.Int
 	slotWait, prefill, call *counters.Histogram
 }
 
@@ -57,6 +62,7 @@
 		streamsTakenUp: set.Int(defStreamsTakenUp), streamsResumed: set.Int(defStreamsResumed), streamsMalformed: set.Int(defStreamsMalformed), streamsOtherVersion: set.Int(defStreamsOtherVersion),
 		versionsGone: set.Int(defVersionsGone), notReached: set.Int(defNotReached), silent: set.Int(defSilent),
 		passedOn: set.Int(defPassedOn), hopsFailed: set.Int(defHopsFailed), hopsGivenUp: set.Int(defHopsGivenUp), forgotten: set.Int(defForgotten),
+		keysMissing: set.Int(defKeysMissing), keysUnknown: set.Int(defKeysUnknown), keysUndecided: set.Int(defKeysUndecided), forCustomers: set.Int(defForCustomers),
 		slotWait: set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
 	}
 }
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -94,7 +94,8 @@
 	// answerDeadline is when the caller must have the response: the deadline of the
 	// request or the timeout of the route, whichever is earlier.
 	answerDeadline time.Time
-	// configVersion is the version of the configuration that the route is from.
+	// config is the configuration that the route is from, configVersion its version.
+	config        *traffic.Config
 	configVersion domain.Revision
 	// version is the software version that the stream is bound to. It is empty before the first
 	// event, or if the version that began the stream is not known.
@@ -131,13 +132,14 @@
 // Serve handles a request and delivers the response or a refusal to caller. It
 // returns when the request has ended. ctx must end when the caller disconnects.
 func (g *Gate) Serve(ctx context.Context, req *traffic.Request, caller traffic.Caller) {
-	config, route := g.cfg.Catalog.Match(req.Host, req.Path)
-	if refusal := g.admit(req, config, route); refusal != nil {
+	config, route, customer := g.cfg.Catalog.Resolve(req)
+	if refusal := g.admit(req, config, route, customer); refusal != nil {
 		g.refuse(req, caller, refusal)
 		return
 	}
+	g.identify(req, config, customer)
 	f := &inFlight{
-		req: req, route: route, configVersion: config.Version, attempts: newAttempts(req, route),
+		req: req, route: route, config: config, configVersion: config.Version, attempts: newAttempts(req, route),
 		slotNeededSince: req.Arrived, answerDeadline: req.Deadline, tried: make(map[domain.UpstreamID]bool),
 		replaced: make(map[traffic.Incarnation]bool), breaks: make(map[traffic.Incarnation]int),
 	}
@@ -198,21 +200,20 @@
 }
 
 // admit returns why a request cannot be accepted, or nil if it can.
-func (g *Gate) admit(req *traffic.Request, config *traffic.Config, route *traffic.Route) *domain.Refusal {
+func (g *Gate) admit(req *traffic.Request, config *traffic.Config, route *traffic.Route, customer *traffic.Customer) *domain.Refusal {
 	switch {
 	case config == nil:
-		return domain.Refuse(domain.RefusalStoreDown, "this host knows no configuration yet",
-			"try again after the stated time").WithRetryAfter(noConfigRetryAfter)
+		return noConfigRefusal()
 	case g.cfg.Rejecting():
 		return leavingRefusal()
 	}
-	if refusal := declineHop(req, config, route); refusal != nil {
+	if refusal := declineHop(req, config, route, customer); refusal != nil {
 		return refusal
 	}
 	if route == nil {
 		return domain.Refuse(domain.RefusalNoRoute, "no route has this host name and path", "check host name and path")
 	}
-	return nil
+	return g.checkKey(req, config, route, customer)
 }
 
 // end ends a request that is not answered: by a refusal, or by breaking off the stream whose
@@ -230,11 +231,15 @@
 
 // refuse counts and logs a refusal and sends it to the caller.
 func (g *Gate) refuse(req *traffic.Request, caller traffic.Caller, refusal *domain.Refusal) {
+	g.noteRefused(req, refusal)
+	caller.Refuse(refusal)
+}
+
+func (g *Gate) noteRefused(req *traffic.Request, refusal *domain.Refusal) {
 	g.metrics.refused.Add(1)
 	klog.InfoS("request refused", "request", req.ID, "reason", refusal.Kind, "ran", refusal.Ran,
 		"message", refusal.Message, "retry_after", refusal.RetryAfter, "held", time.Since(req.Arrived).Round(time.Millisecond),
 		"version", g.cfg.Catalog.Version())
-	caller.Refuse(refusal)
 }
 
 // timeLeft returns the time until the caller's deadline.
--- a/dispatch/hop.go
+++ b/dispatch/hop.go
@@ -44,7 +44,7 @@
 // Hosts with different configurations do not serve for each other, so that what callers of one
 // host see does not go back to an earlier version. A request that may have run on upstreams that
 // the other host does not state may have used all its attempts.
-func declineHop(req *traffic.Request, config *traffic.Config, route *traffic.Route) *domain.Refusal {
+func declineHop(req *traffic.Request, config *traffic.Config, route *traffic.Route, customer *traffic.Customer) *domain.Refusal {
 	switch {
 	case req.Hop == nil:
 		return nil
@@ -52,6 +52,8 @@
 		return domain.Refuse(domain.RefusalCutOff, "the hosts have different versions of the configuration", "try again at once").WithRetryAfter(busyRetryAfter)
 	case req.Hop.Grant == nil && route != nil && mayHaveRunElsewhere(req, route):
 		return domain.Refuse(domain.RefusalCutOff, "the other host does not state which upstreams the request was sent to", "try again at once").WithRetryAfter(busyRetryAfter)
+	case route != nil:
+		return declineCustomer(req, config, route, customer)
 	default:
 		return nil
 	}
@@ -109,6 +111,7 @@
 // at a time, so that little is lost with a host that does not say what it has used.
 func (g *Gate) passOn(ctx context.Context, h *hop) *domain.Refusal {
 	h.opts.Version = h.configVersion
+	h.stateCustomer()
 	for try := range maxHopTries {
 		if h.req.Hop != nil || !g.mayPass(h) {
 			break
@@ -231,7 +234,8 @@
 
 // pass passes the request on to one host and counts what it uses there. A host of a release that
 // knows no grants declines a request with one, and gets it without one if it was sent to no
-// upstream yet. All its attempts are then used, as nobody knows how many the host needs.
+// upstream yet. All its attempts are then used, as nobody knows how many the host needs. Where the
+// configuration has customers, it does not get the request, as it would not tell upstreams the name.
 func (g *Gate) pass(ctx context.Context, h *hop, host domain.HostID) (traffic.HopResponse, error) {
 	h.opts.Remaining = h.timeLeft(time.Now())
 	h.opts.Usage = h.usage()
@@ -243,7 +247,7 @@
 		h.account(resp.Usage, err)
 		return resp, err
 	}
-	if h.used() > 0 || h.mayHaveRun {
+	if h.used() > 0 || h.mayHaveRun || h.req.HidesCredential {
 		return traffic.HopResponse{}, &traffic.CallError{Effect: traffic.EffectRejected, Err: errNoGrants}
 	}
 	h.opts.Grant = nil
@@ -252,9 +256,8 @@
 	return resp, err
 }
 
-// errNoGrants means that a host knows no grants, so that it may not get a request that has used
-// attempts.
-var errNoGrants = errors.New("the other host is of a release that knows no grants; another one is tried")
+// errNoGrants means that a host declined a request and may not get it without a grant.
+var errNoGrants = errors.New("the other host declines the request, or is of a release that knows no grants; another one is tried")
 
 // account counts what a request has used at another host. If that host does not say so, the whole
 // grant is used, or all attempts without one.
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -368,7 +368,7 @@
 		}))
 	listeners := []kratosServer{
 		d.listener(d.settings.Callers, ingress.NewCallers(ingress.CallersConfig{
-			Address: d.settings.Callers, Serve: d.serve, Limits: limits, Leaving: d.leaving.Load,
+			Address: d.settings.Callers, Serve: d.serve, Authenticate: d.gate.Authenticate, Limits: limits, Leaving: d.leaving.Load,
 		})),
 		d.listener(d.settings.Ready, ingress.NewReady(d.settings.Ready, d.ready)),
 		d.listener(d.settings.Directory, ingress.NewDirectory(d.settings.Directory, d.resolveAddresses)),
