--- a/platformentry/fixture_test.go
+++ b/platformentry/fixture_test.go
@@ -45,6 +45,8 @@
 	virtual *memnet.Network
 	// transport carries the requests of callers that have none of their own.
 	transport http.RoundTripper
+	// customers are those of the next configuration. Without any, requests need no keys.
+	customers []platformtest.Customer
 }
 
 // host is one entry host under test.
@@ -109,7 +111,8 @@
 		{Prefix: "/status/", Kind: platformtest.KindRepeat, Service: plainService, Attempts: 2},
 		{Prefix: "/draft/", Kind: platformtest.KindStream, Service: "models", Attempts: 1, Engine: true},
 		{Prefix: "/note/", Kind: platformtest.KindStream, Service: "models", Attempts: 2, Engine: true, Resume: true},
-	})
+		{Prefix: "/open/", Kind: platformtest.KindRepeat, Service: plainService, Attempts: 2, Public: true},
+	}, d.customers...)
 }
 
 func (d *deployment) startHost(name, zone string) *host {
