--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -21,8 +21,10 @@
 	snapshot atomic.Pointer[upstreamSnapshot]
 	registry registry
 	onApply  func(domain.Revision)
-	// configLost means that the host may lack a newer configuration.
-	configLost atomic.Bool
+	// configLost means that the host may lack a newer configuration, configHeard is the highest
+	// version that another host has applied.
+	configLost  atomic.Bool
+	configHeard atomic.Int64
 }
 
 // routeIndex is a configuration with its routes grouped by host name and sorted for
--- a/catalog/customers.go
+++ b/catalog/customers.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "greengagespoke/traffic"
+import (
+	"greengagespoke/domain"
+	"greengagespoke/traffic"
+)
 
 // addCustomers indexes customers. A key or a name that two customers have belongs to the first.
 func (x *routeIndex) addCustomers(customers []traffic.Customer) {
@@ -41,5 +44,17 @@
 // last read.
 func (c *Catalog) ConfigRegained() { c.configLost.Store(false) }
 
-// MayLackConfig reports whether this host may lack a newer configuration.
-func (c *Catalog) MayLackConfig() bool { return c.configLost.Load() }
+// ConfigHeard records the version of the configuration that another host has applied.
+func (c *Catalog) ConfigHeard(version domain.Revision) {
+	for {
+		highest := c.configHeard.Load()
+		if highest >= int64(version) || c.configHeard.CompareAndSwap(highest, int64(version)) {
+			return
+		}
+	}
+}
+
+// MayLackConfig reports whether this host may lack a newer configuration, or knows that it does.
+func (c *Catalog) MayLackConfig() bool {
+	return c.configLost.Load() || c.configHeard.Load() > int64(c.Version())
+}
--- a/catalog/customers_test.go
+++ b/catalog/customers_test.go
@@ -72,3 +72,19 @@
 		t.Errorf("without a name, the customer is %q", found.Name)
 	}
 }
+
+// A host that knows of a newer configuration must not take its keys for unknown ones.
+func TestNewerConfigurationIsHeardOf(t *testing.T) {
+	c := New()
+	c.Apply(customersConfig(2), "test")
+	for _, step := range []struct {
+		heard, applied domain.Revision
+		lacks          bool
+	}{{1, 2, false}, {2, 2, false}, {4, 2, true}, {3, 2, true}, {3, 3, true}, {3, 4, false}} {
+		c.ConfigHeard(step.heard)
+		c.Apply(customersConfig(step.applied), "test")
+		if c.MayLackConfig() != step.lacks {
+			t.Errorf("with version %d after another host had %d, may lack a newer one: %t", step.applied, step.heard, !step.lacks)
+		}
+	}
+}
