--- a/platformentry/customers_test.go
+++ b/platformentry/customers_test.go
@@ -238,6 +238,7 @@
 		{c.d.hosts[0], "Content-Length: 1000", http.StatusUnauthorized, false},
 		{c.d.hosts[0], "Content-Length: 1000000", http.StatusUnauthorized, true},
 		{c.d.hosts[0], "Transfer-Encoding: chunked", http.StatusUnauthorized, true},
+		{c.d.hosts[0], "Content-Length: 1000\r\nExpect: 100-continue", http.StatusUnauthorized, true},
 		{lone, "Content-Length: 1000", http.StatusServiceUnavailable, false},
 	} {
 		conn, err := c.d.network.Dial(context.Background(), x.h.settings.Callers)
