--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -19,16 +19,26 @@
 // Best returns the alive host with the highest score for a key. It returns self only if self is the
 // best one, or if it sees no other alive host: a host that leaves is not chosen by the others either.
 func Best(self domain.HostID, members []domain.Member, key uint64) domain.HostID {
-	best, highest := self, uint64(0)
-	if !slices.ContainsFunc(members, func(m domain.Member) bool { return m.ID == self && m.State != domain.MemberAlive }) {
-		highest = score(self, key)
+	best, known := Highest(members, key)
+	counted := !slices.ContainsFunc(members, func(m domain.Member) bool { return m.ID == self && m.State != domain.MemberAlive })
+	if !known || counted && score(self, key) >= score(best, key) {
+		return self
 	}
+	return best
+}
+
+// Highest returns the alive host with the highest score for a key, or false if no host is alive.
+func Highest(members []domain.Member, key uint64) (best domain.HostID, ok bool) {
+	highest := uint64(0)
 	for _, m := range members {
-		if s := score(m.ID, key); m.State == domain.MemberAlive && s > highest {
-			best, highest = m.ID, s
+		if m.State != domain.MemberAlive {
+			continue
+		}
+		if s := score(m.ID, key); !ok || s > highest {
+			best, highest, ok = m.ID, s, true
 		}
 	}
-	return best
+	return best, ok
 }
 
 // scored is a host with its score for a key. round is its rank within its zone.
