membership: when other hosts were last heard of, and a suspicion learnt

Cause: a host that grants parts of quotas must stop when it is cut off or may have been replaced. Change: Membership.Contact. Suspicions count that alive hosts tell, not those of a host that was out of touch itself, which holds all others for dead.

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -16,6 +16,7 @@
 // ProbeVia implements ports.Gossip by forwarding the probe to the target. It returns
 // ports.ErrPeerUnreachable before Bind, and otherwise the error of the probe.
 func (m *Membership) ProbeVia(ctx context.Context, target domain.HostID, msg ports.ProbeMessage) (ports.ProbeMessage, error) {
+	m.noteHeard()
 	gossip := m.gossip(target)
 	if gossip == nil {
 		return ports.ProbeMessage{}, ports.ErrPeerUnreachable
@@ -25,6 +26,7 @@
 
 // Sync implements ports.Gossip. The error is always nil.
 func (m *Membership) Sync(_ context.Context, view []domain.Member) ([]domain.Member, error) {
+	m.noteHeard()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.mergeView(view)
@@ -45,6 +47,7 @@
 // receive applies the contents of a probe or of its answer.
 func (m *Membership) receive(msg ports.ProbeMessage) {
 	m.mu.Lock()
+	m.noteContact(msg)
 	m.merge(msg.Updates, fromGossip)
 	if r, ok := m.records[msg.From]; ok && m.raiseRevision(r, msg.Revision) {
 		m.publish()
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -44,6 +44,9 @@
 	OnRevision func(domain.HostID, domain.Revision)
 	// Strikes provides and receives crash strikes. It may be nil.
 	Strikes StrikeSource
+	// Clock is the clock of Contact. Nil means the process's own, which may stand still while the
+	// host is suspended.
+	Clock func() time.Duration
 }
 
 // Membership maintains this host's view of the entry hosts. It implements
@@ -74,6 +77,8 @@
 	nextSync              time.Time
 	syncInterval          time.Duration
 	lastSyncRestart       time.Time
+	// heardAt and suspectedAt are the times that Contact returns, by cfg.Clock.
+	heardAt, suspectedAt time.Duration
 }
 
 // New returns a Membership whose view contains only this host. A zero incarnation
@@ -90,6 +95,10 @@
 	if cfg.Self.State == "" {
 		cfg.Self.State = domain.MemberAlive
 	}
+	if cfg.Clock == nil {
+		start := time.Now()
+		cfg.Clock = func() time.Duration { return time.Since(start) }
+	}
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(cfg.Self.ID))
 	m := &Membership{
@@ -102,6 +111,8 @@
 		syncInterval:   initialSyncInterval,
 		announceSignal: make(chan struct{}, 1),
 	}
+	m.heardAt = cfg.Clock() - neverAgo
+	m.suspectedAt = m.heardAt
 	m.broadcasts.add(m.self)
 	m.publish()
 	return m
--- a/membership/sync.go
+++ b/membership/sync.go
@@ -42,6 +42,7 @@
 		return
 	}
 	m.counts.syncs.Add(1)
+	m.noteHeard()
 	m.mu.Lock()
 	m.mergeView(answer)
 	m.mu.Unlock()
