--- a/membership/contact.go
+++ b/membership/contact.go
@@ -11,7 +11,7 @@
 const neverAgo = 24 * time.Hour
 
 // Contact returns the time since this host last received a message of another host, and since it
-// last learnt from one that is alive in its view that others hold this host for suspect or dead.
+// last learnt from one that others hold this host for suspect or dead.
 // Both include the time in which the host was suspended if Config.Clock does.
 func (m *Membership) Contact() (heard, suspected time.Duration) {
 	m.mu.Lock()
@@ -27,16 +27,12 @@
 	m.heardAt = m.cfg.Clock()
 }
 
-// noteContact records a message of another host, and whether it says that this host is suspect. A
-// host that is not alive in this host's view was out of touch itself: after a partition it holds all
-// others for dead. Full views are not asked, as they may be old. It must be called before the message
-// is merged, with m.mu held.
+// noteContact records a message of another host, and whether it says that this host is suspect. Full
+// views are not asked, as they may be old. It must be called before the message is merged, with m.mu
+// held.
 func (m *Membership) noteContact(msg ports.ProbeMessage) {
 	now := m.cfg.Clock()
 	m.heardAt = now
-	if r, ok := m.records[msg.From]; !ok || r.member.State != domain.MemberAlive && r.member.State != domain.MemberLeaving {
-		return
-	}
 	for _, update := range msg.Updates {
 		suspect := update.State == domain.MemberSuspect || update.State == domain.MemberDead
 		if suspect && update.ID == m.self.ID && update.Incarnation >= m.self.Incarnation && plausible(update) {
