dispatch, platformentry: requests are charged to the quotas of their customers

Cause: package quota decides, but no request asked it. Change: Gate.Serve charges a request after the quarantine and stop checks, before it waits or is sent, unless another host passed it on. A refusal that says that the request did not run gives the charge back, as does the end of one that was sent to no upstream. Refusals over_quota (429) and quota_unknown (503), each with one line with the customer, the cost and what was known. The daemon runs and serves the quotas, with the bounds of the settings and a clock that counts suspension. Result: TestRequestsAreCharged and TestRequestsBeyondTheQuota fail without the refund, if each refusal gives back, if requests of other hosts are charged, and with the full target latency as the wait.

--- a/adapters/gatehttp/refusal.go
+++ b/adapters/gatehttp/refusal.go
@@ -23,11 +23,11 @@
 		return http.StatusConflict
 	case domain.RefusalTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case domain.RefusalQueueFull, domain.RefusalLate, domain.RefusalOverloaded:
+	case domain.RefusalQueueFull, domain.RefusalLate, domain.RefusalOverloaded, domain.RefusalOverQuota:
 		return http.StatusTooManyRequests
 	case domain.RefusalQuarantined:
 		return http.StatusUnprocessableEntity
-	case domain.RefusalNoUpstream, domain.RefusalLeaving, domain.RefusalStoreDown, domain.RefusalNotResumable, domain.RefusalCutOff:
+	case domain.RefusalNoUpstream, domain.RefusalLeaving, domain.RefusalStoreDown, domain.RefusalNotResumable, domain.RefusalCutOff, domain.RefusalQuotaUnknown:
 		return http.StatusServiceUnavailable
 	case domain.RefusalUpstreamFailed:
 		return http.StatusBadGateway
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -13,6 +13,7 @@
 	"greengagespoke/internal/shard"
 	"greengagespoke/origins"
 	"greengagespoke/quarantine"
+	"greengagespoke/quota"
 	"greengagespoke/ratelimit"
 	"greengagespoke/reach"
 	"greengagespoke/stages"
@@ -49,6 +50,8 @@
 	Hops  traffic.Hops
 	// Origins knows which software version began each stream.
 	Origins *origins.Origins
+	// Quotas charges requests to the quotas of their customers. If it is nil, none is charged.
+	Quotas *quota.Quotas
 	// Decides reports whether this host, and no other one, runs a request of which it is
 	// undecided whether it caused three crashes.
 	Decides func(fingerprint uint64) bool
@@ -115,6 +118,9 @@
 	// eventsSent is the number of events that the caller got, lastEventAt when it got the last one.
 	eventsSent  int
 	lastEventAt time.Time
+	// notRun says that the answer of another host, which the caller gets, promises that the request
+	// did not run.
+	notRun bool
 }
 
 // eventSent notes that the caller got an event.
@@ -166,6 +172,13 @@
 		g.refuse(req, caller, refusal)
 		return
 	}
+	charged, endCharge, refusal := g.charge(ctx, f, caller)
+	if refusal != nil {
+		g.refuse(req, caller, refusal)
+		return
+	}
+	defer endCharge()
+	caller = charged
 	if req.Hop != nil {
 		klog.InfoS("request taken from another host", "request", req.ID, "counted", req.Hop.Counted, "granted", req.Hop.Grant != nil,
 			"upstreams_used", f.used(), "upstreams_allowed", f.limit)
--- a/dispatch/hop.go
+++ b/dispatch/hop.go
@@ -134,6 +134,7 @@
 	}
 	switch {
 	case h.answer != nil && !h.headSent && (!h.refused || !h.mayHaveRun):
+		h.notRun = h.refused
 		h.caller.Answer(h.answer)
 		return nil
 	case h.mayHaveRun && g.hostEnds.Err() != nil:
@@ -204,6 +205,7 @@
 		klog.InfoS("request refused by another host", "request", h.req.ID, "host", host)
 		return false, nil
 	case err == nil && resp.Answer != nil:
+		h.notRun = resp.NotRun
 		h.caller.Answer(resp.Answer)
 		return true, nil
 	case err == nil:
--- a/domain/refusal.go
+++ b/domain/refusal.go
@@ -30,6 +30,8 @@
 	RefusalNotFound        RefusalKind = "not_found"
 	RefusalNoRoute         RefusalKind = "no_route"
 	RefusalOverloaded      RefusalKind = "overloaded"
+	RefusalOverQuota       RefusalKind = "over_quota"
+	RefusalQuotaUnknown    RefusalKind = "quota_unknown"
 	RefusalLate            RefusalKind = "late"
 	RefusalQueueFull       RefusalKind = "queue_full"
 	RefusalNoUpstream      RefusalKind = "no_upstream"
--- a/internal/docstest/counters_test.go
+++ b/internal/docstest/counters_test.go
@@ -18,7 +18,6 @@
 	_ "greengagespoke/entry"
 	_ "greengagespoke/orders"
 	_ "greengagespoke/platformentry"
-	_ "greengagespoke/quota"
 )
 
 // TestCountersPage checks that the counters page lists the whole catalogue, and
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -36,6 +36,7 @@
 	"greengagespoke/platform/upstream"
 	"greengagespoke/ports"
 	"greengagespoke/quarantine"
+	"greengagespoke/quota"
 	"greengagespoke/ratelimit"
 	"greengagespoke/reach"
 	"greengagespoke/rendezvous"
@@ -99,6 +100,7 @@
 	quarantine  *quarantine.List
 	strikes     *registry.Strikes
 	rateLimits  *ratelimit.Limits
+	quotas      *quota.Quotas
 	origins     *origins.Origins
 	reach       *reach.Monitor
 	peers       *peerrpc.Peers
@@ -123,13 +125,12 @@
 func NewOn(network tcp.Network, s *settings.Settings, metricsPort int) *Daemon {
 	logging.UseKlog()
 	network = tcp.Hedged(network)
-	counterSet := counters.NewSet()
+	counterSet, clock := counters.NewSet(), newClock()
 	d := &Daemon{settings: s, network: network, catalog: catalog.New(), upstreams: upstream.NewOn(network)}
 	self := domain.Member{
 		ID: s.Host, Zone: s.Zone, PeerAddress: s.Peers, CallerAddress: s.Callers, State: domain.MemberAlive,
 	}
 	d.retryBudget = dispatch.NewBudget(d.nonDeadHostCount)
-	d.applySettings(s)
 	storeClient := store.NewOn(network, s.StoreAddress)
 	d.hosts = registry.NewHosts(storeClient, self)
 	d.storeSource = registry.NewSource(storeClient, s.Host)
@@ -142,8 +143,10 @@
 	d.strikes = registry.NewStrikes(storeClient, d.storeSource, s.Host, d.quarantine, quarantine.DefaultStrikeTTL)
 	d.members = membership.New(membership.Config{
 		Self: self, HostList: d.hosts, Counters: counterSet, OnRevision: d.configPeers.OnPeerVersion, ProbePeriod: membershipProbePeriod,
-		Strikes: d.quarantine,
+		Strikes: d.quarantine, Clock: clock,
 	})
+	d.quotas = d.newQuotas(clock, counterSet)
+	d.applySettings(s)
 	d.hosts.Bind(d.confirmedHostCount, func() uint64 { return d.members.Self().Incarnation })
 	d.rateLimits = ratelimit.New(ratelimit.Config{
 		Self: s.Host, GrantingHost: func(process domain.UpstreamID) domain.HostID {
@@ -173,7 +176,7 @@
 	d.gate = dispatch.NewGate(dispatch.Config{
 		Zone: s.Zone, Catalog: d.catalog, Upstreams: d.upstreams, Counters: counterSet, Rejecting: d.rejecting.Load, Stopping: d.stopping,
 		Budget: d.retryBudget, Loads: loads, Quarantine: d.quarantine, Decides: d.decides,
-		RateLimits: d.rateLimits, Origins: d.origins, Reach: d.reach,
+		RateLimits: d.rateLimits, Quotas: d.quotas, Origins: d.origins, Reach: d.reach,
 		Hops: upstream.Hops{Client: d.upstreams, Address: d.peerAddress},
 	})
 	d.balancer = stages.New(stages.Config{
@@ -257,6 +260,7 @@
 	group.Go(func() error { return d.registry.Run(loopCtx) })
 	group.Go(func() error { return d.strikes.Run(loopCtx) })
 	group.Go(func() error { return d.rateLimits.Run(loopCtx) })
+	group.Go(func() error { return d.quotas.Run(loopCtx) })
 	group.Go(func() error { return d.origins.Run(loopCtx) })
 	group.Go(func() error { return d.reach.Run(loopCtx) })
 	group.Go(func() error { return d.upstreams.Run(loopCtx) })
@@ -362,8 +366,8 @@
 		khttp.Filter(func(http.Handler) http.Handler {
 			return ingress.NewHops(ingress.CallersConfig{Serve: d.serve, Limits: limits, Leaving: d.leaving.Load}, peerrpc.NewServer(peerrpc.ServerConfig{
 				Gossip: d.members, Tables: d.configPeers, Relay: d.storeSource.Mirror(), Rates: d.rateLimits, Origins: d.origins,
-				Reach: d.reach,
-				Key:   peerKey, ClockSkew: maxClockSkew, Counters: counterSet,
+				Reach: d.reach, Quotas: d.quotas,
+				Key: peerKey, ClockSkew: maxClockSkew, Counters: counterSet,
 			}))
 		}))
 	listeners := []kratosServer{
