--- a/quota/quota.go
+++ b/quota/quota.go
@@ -85,6 +85,8 @@
 	mu    sync.Mutex
 	parts map[partKey]*part
 	view  *view
+	// viewedAt is when the members were last looked at.
+	viewedAt time.Duration
 	// views holds the latest views, oldest first.
 	views []*view
 	// checkedAt is when the process last ran a check.
--- a/quota/view.go
+++ b/quota/view.go
@@ -19,6 +19,8 @@
 	// largestRequest is the number of tokens that the bucket of each part must hold if there are
 	// several. Prompts have up to 6,760 tokens.
 	largestRequest = 8192
+	// minViewInterval is the least time between two looks at the members.
+	minViewInterval = tickInterval / 2
 	// maxViews bounds the views that are kept. A bucket of a part that was not asked for before is
 	// filled since the oldest one at most.
 	maxViews = 8
@@ -42,15 +44,22 @@
 	since   time.Duration
 	members []domain.Member
 	zones   []domain.Zone
-	byZone  map[domain.Zone][]domain.Member
+	byZone  map[domain.Zone]*zoneHosts
 	// left holds the incarnations of hosts that announced that they leave. They grant nothing more,
 	// also if they no longer answer.
 	left map[domain.HostID]uint64
 }
 
+// zoneHosts are the hosts of a zone that may grant, in any state but leaving, and the number of those
+// that are alive.
+type zoneHosts struct {
+	present []domain.Member
+	alive   int
+}
+
 // newView returns the view of members. previous may be nil.
 func newView(members []domain.Member, since time.Duration, previous *view) *view {
-	v := &view{since: since, members: members, byZone: make(map[domain.Zone][]domain.Member), left: make(map[domain.HostID]uint64)}
+	v := &view{since: since, members: members, byZone: make(map[domain.Zone]*zoneHosts), left: make(map[domain.HostID]uint64)}
 	for _, m := range members {
 		switch {
 		case m.State == domain.MemberLeaving:
@@ -60,10 +69,18 @@
 				v.left[m.ID] = incarnation
 			}
 		}
-		if _, ok := v.byZone[m.Zone]; !ok {
-			v.zones = append(v.zones, m.Zone)
+		z := v.byZone[m.Zone]
+		if z == nil {
+			z = new(zoneHosts)
+			v.byZone[m.Zone], v.zones = z, append(v.zones, m.Zone)
+		}
+		if _, left := v.left[m.ID]; left {
+			continue
+		}
+		z.present = append(z.present, m)
+		if m.State == domain.MemberAlive {
+			z.alive++
 		}
-		v.byZone[m.Zone] = append(v.byZone[m.Zone], m)
 	}
 	slices.Sort(v.zones)
 	return v
@@ -105,35 +122,34 @@
 // the hosts of the zone are alive, the others may be cut off and have chosen another one.
 func (v *view) grantingHost(customer traffic.CustomerName, part int) (host domain.HostID, zone domain.Zone, ok bool) {
 	zone = v.zone(customer, part)
-	key := hashOf(string(customer)) + uint64(part) //nolint:gosec // Parts are few.
-	present := make([]domain.Member, 0, len(v.byZone[zone]))
-	alive := 0
-	for _, m := range v.byZone[zone] {
-		if _, left := v.left[m.ID]; left {
-			continue
-		}
-		if m.State == domain.MemberAlive {
-			alive++
-		}
-		present = append(present, m)
+	z := v.byZone[zone]
+	if z == nil {
+		return "", zone, false
 	}
-	host, ok = rendezvous.Highest(present, key)
-	if !ok || 2*alive < len(present) {
+	key := hashOf(string(customer)) + uint64(part) //nolint:gosec // Parts are few.
+	host, ok = rendezvous.Highest(z.present, key)
+	if !ok || 2*z.alive < len(z.present) {
 		return "", zone, false
 	}
-	if 2*alive == len(present) {
+	if 2*z.alive == len(z.present) {
 		// Of two halves, the one with the highest-ranked host of all grants.
-		for i := range present {
-			present[i].State = domain.MemberAlive
+		all := slices.Clone(z.present)
+		for i := range all {
+			all[i].State = domain.MemberAlive
 		}
-		first, _ := rendezvous.Highest(present, key)
+		first, _ := rendezvous.Highest(all, key)
 		ok = first == host
 	}
 	return host, zone, ok
 }
 
-// observeView takes over the members of now and returns the view. q.mu must be held.
+// observeView takes over the members of now and returns the view. Each change costs a ranking of all
+// parts, so it looks at the members a few times a second only. q.mu must be held.
 func (q *Quotas) observeView(now time.Duration) *view {
+	if q.view != nil && now-q.viewedAt < minViewInterval {
+		return q.view
+	}
+	q.viewedAt = now
 	members := q.cfg.Members()
 	if q.view != nil && q.view.isOf(members) {
 		return q.view
