platform/registry: a clock that counts suspension and runs in virtual time

Change: the process's own clock plus the time in which the host was suspended, as the difference of two clocks of the kernel. The duty has its clock as before.

--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -125,7 +125,7 @@
 func NewOn(network tcp.Network, s *settings.Settings, metricsPort int) *Daemon {
 	logging.UseKlog()
 	network = tcp.Hedged(network)
-	counterSet, clock := counters.NewSet(), newClock()
+	counterSet, clock := counters.NewSet(), registry.NewClock()
 	d := &Daemon{settings: s, network: network, catalog: catalog.New(), upstreams: upstream.NewOn(network)}
 	self := domain.Member{
 		ID: s.Host, Zone: s.Zone, PeerAddress: s.Peers, CallerAddress: s.Callers, State: domain.MemberAlive,
--- a/platformentry/quotas.go
+++ b/platformentry/quotas.go
@@ -4,31 +4,14 @@
 	"sync/atomic"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"greengagespoke/counters"
 	"greengagespoke/domain"
-	"greengagespoke/platform/registry"
 	"greengagespoke/platform/settings"
 	"greengagespoke/ports"
 	"greengagespoke/quota"
 	"greengagespoke/traffic"
 )
 
-// newClock returns a clock that includes the time in which the host was suspended, or the process's
-// own if the kernel has none.
-func newClock() func() time.Duration {
-	if _, err := registry.SinceBoot(); err != nil {
-		klog.ErrorS(err, "a suspended host may grant quotas for a moment after it resumes")
-		start := time.Now()
-		return func() time.Duration { return time.Since(start) }
-	}
-	return func() time.Duration {
-		now, _ := registry.SinceBoot() // It was readable before.
-		return now
-	}
-}
-
 // newQuotas returns the quotas of customers.
 func (d *Daemon) newQuotas(clock func() time.Duration, counterSet *counters.Set) *quota.Quotas {
 	customers := &quotaCustomers{config: d.catalog.Config}
