dispatch, urgency: places by urgency where priorities differ

Change: package urgency has the levels of a service, aging, headroom, retry delays and shares of customers; dispatch orders waiting requests by them, reserves with the headroom and tells engines the urgency. A service with one level is served as before.

--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -17,6 +17,7 @@
 	"greengagespoke/reach"
 	"greengagespoke/stages"
 	"greengagespoke/traffic"
+	"greengagespoke/urgency"
 )
 
 const (
@@ -66,6 +67,7 @@
 	prefillSelector *prefillSelector
 	isolator        isolator
 	pace            *pace
+	urgency         *urgencies
 	// mixedVersions holds until when a service counts as one of several software versions.
 	mixedVersions *shard.Map[traffic.ServiceName, time.Time]
 	metrics       metrics
@@ -76,7 +78,7 @@
 
 // NewGate returns a Gate that uses cfg.
 func NewGate(cfg Config) *Gate {
-	g := &Gate{cfg: cfg, stats: newStatsMap(), metrics: newMetrics(cfg.Counters), prefillSelector: newPrefillSelector(), isolator: newIsolator(), pace: newPace(), mixedVersions: shard.NewMap[traffic.ServiceName, time.Time]()}
+	g := &Gate{cfg: cfg, stats: newStatsMap(), metrics: newMetrics(cfg.Counters), prefillSelector: newPrefillSelector(), isolator: newIsolator(), pace: newPace(), urgency: newUrgencies(cfg.Counters), mixedVersions: shard.NewMap[traffic.ServiceName, time.Time]()}
 	g.slots = newSlotReserver(g)
 	g.hostEnds, g.endAll = context.WithCancel(context.Background())
 	return g
@@ -88,6 +90,8 @@
 	route   *traffic.Route
 	service traffic.ServiceName
 	engine  *traffic.Engine
+	// level is the urgency among the requests of the service.
+	level urgency.Level
 	// slotNeededSince is when the request began to need a slot on a decode engine:
 	// when it arrived, or when its stream broke.
 	slotNeededSince time.Time
@@ -155,6 +159,7 @@
 		return
 	}
 	f.engine = config.Services[f.service].Engine
+	f.level = g.urgency.levelOf(f, config)
 	if f.isGeneration() {
 		f.parts = req.Parts
 	}
@@ -219,7 +224,7 @@
 // head the caller has.
 func (g *Gate) end(f *inFlight, caller traffic.Caller, headSent bool, refusal *domain.Refusal) {
 	if !headSent {
-		g.refuse(f.req, caller, refusal)
+		g.refuseAtLevel(f, caller, refusal)
 		return
 	}
 	g.metrics.streamsBroken.Add(1)
@@ -229,11 +234,13 @@
 }
 
 // refuse counts and logs a refusal and sends it to the caller.
-func (g *Gate) refuse(req *traffic.Request, caller traffic.Caller, refusal *domain.Refusal) {
+func (g *Gate) refuse(req *traffic.Request, caller traffic.Caller, refusal *domain.Refusal, details ...any) {
 	g.metrics.refused.Add(1)
-	klog.InfoS("request refused", "request", req.ID, "reason", refusal.Kind, "ran", refusal.Ran,
+	klog.InfoS("request refused", append([]any{
+		"request", req.ID, "reason", refusal.Kind, "ran", refusal.Ran,
 		"message", refusal.Message, "retry_after", refusal.RetryAfter, "held", time.Since(req.Arrived).Round(time.Millisecond),
-		"version", g.cfg.Catalog.Version())
+		"version", g.cfg.Catalog.Version(),
+	}, details...)...)
 	caller.Refuse(refusal)
 }
 
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -138,6 +138,7 @@
 	}
 	n.reservedAt = time.Now()
 	g.metrics.slotWait.Record(n.reservedAt.Sub(n.req.Arrived))
+	g.urgency.placed(n.inFlight, n.reservedAt)
 	t := g.stats.forUpstream(reservation.Engine)
 	t.callStarted()
 	result := outcomeIgnored
@@ -177,10 +178,12 @@
 	t.streamStarted()
 	defer stream.Close()
 	g.countResumption(n, reservation.Engine)
-	klog.InfoS("stream started", "request", n.req.ID, "decode", reservation.Engine.ID, "prefill", prefillEngineID(prompt),
+	klog.InfoS("stream started", append([]any{
+		"request", n.req.ID, "decode", reservation.Engine.ID, "prefill", prefillEngineID(prompt),
 		"process", reservation.Engine.Incarnation().String(), "software", reservation.Engine.Version, "resumes", n.req.Resumes, "after", n.lastEventID,
 		"waited", n.reservedAt.Sub(n.req.Arrived).Round(time.Millisecond), "read", prefillEnd.Sub(n.reservedAt).Round(time.Millisecond),
-		"reserved", reservation.Tokens, "version", n.configVersion)
+		"reserved", reservation.Tokens, "version", n.configVersion,
+	}, n.levelDetails()...)...)
 	result, refusal = g.streamEnded(ctx, n, reservation, g.relayEvents(ctx, n, stream))
 	return refusal
 }
@@ -346,7 +349,7 @@
 	return traffic.SendOptions{
 		Remaining: n.timeLeft(time.Now()), Resume: n.lastEventID != "", LastEventID: n.lastEventID,
 		Verify: n.route.Resumable,
-		Prompt: prompt, Reservation: reservation,
+		Prompt: prompt, Reservation: reservation, Urgency: n.engineUrgency(),
 	}
 }
 
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"greengagespoke/traffic"
+	"greengagespoke/urgency"
 )
 
 // turn is what decides when a request gets a slot while more requests wait than there are slots.
@@ -13,9 +14,19 @@
 // ones, so that the callers of these would all wait for its caller.
 type turn struct {
 	arrived time.Time
+	// level is the urgency of the request, since when it began to wait.
+	level  urgency.Level
+	since  time.Time
+	target time.Duration
+	// customer sent the request, nil if it is not known. excess is by how much the customer
+	// exceeds the share of others in the places of the queue.
+	customer *traffic.Customer
+	excess   int
 	// onTimeUntil is until when the request can still meet its target latency. The request is
 	// late afterwards.
 	onTimeUntil time.Time
+	// tokens is the memory that the request is expected to take on an engine.
+	tokens int
 	// size is the memory that the request is expected to take on an engine, multiplied by the
 	// time, in tokens times tokens.
 	size int
@@ -24,7 +35,12 @@
 func newTurn(f *inFlight, target time.Duration) turn {
 	return turn{
 		arrived:     f.req.Arrived,
+		level:       f.level,
+		since:       f.slotNeededSince,
+		target:      target,
+		customer:    f.req.Customer,
 		onTimeUntil: f.slotNeededSince.Add(target - firstEventLatency),
+		tokens:      estimateTokens(f.req),
 		size:        estimateTokens(f.req) * (expectedOutput(f.req) + outputHeadroomTokens),
 	}
 }
@@ -39,10 +55,18 @@
 
 func (t turn) isLate(now time.Time) bool { return now.After(t.onTimeUntil) }
 
-// compare orders requests: those that can still be on time come first, the smaller ones before the
-// larger ones. A request passes the others for less than its target latency only, as late ones
-// come in the order of their arrival.
+// aged returns the level by which the request is ordered.
+func (t turn) aged(now time.Time) int { return t.level.Aged(now.Sub(t.since), t.target) }
+
+// compare orders requests: the more urgent ones come first, where less urgent ones become more
+// urgent as they wait. Within a level, those that can still be on time come first, then those of
+// customers that do not exceed their share, then the smaller ones before the larger ones. A request
+// passes the others of its level for less than its target latency only, as late ones come in the
+// order of their arrival.
 func (t turn) compare(other turn, now time.Time) int {
+	if urgent := cmp.Compare(t.aged(now), other.aged(now)); urgent != 0 {
+		return urgent
+	}
 	late, otherLate := t.isLate(now), other.isLate(now)
 	switch {
 	case late && !otherLate:
@@ -50,8 +74,8 @@
 	case !late && otherLate:
 		return -1
 	case late:
-		return t.arrived.Compare(other.arrived)
+		return cmp.Or(cmp.Compare(t.excess, other.excess), t.arrived.Compare(other.arrived))
 	default:
-		return cmp.Or(cmp.Compare(t.size, other.size), t.arrived.Compare(other.arrived))
+		return cmp.Or(cmp.Compare(t.excess, other.excess), cmp.Compare(t.size, other.size), t.arrived.Compare(other.arrived))
 	}
 }
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -12,6 +12,7 @@
 	"greengagespoke/internal/pause"
 	"greengagespoke/internal/shard"
 	"greengagespoke/traffic"
+	"greengagespoke/urgency"
 )
 
 const (
@@ -85,7 +86,7 @@
 	var found *slotQueue
 	p.queues.Update(service, func(q *slotQueue, ok bool) (*slotQueue, bool) {
 		if !ok {
-			q = &slotQueue{full: make(map[domain.UpstreamID]rejection)}
+			q = &slotQueue{full: make(map[domain.UpstreamID]rejection), shares: urgency.NewShares()}
 		}
 		found = q
 		return q, true
@@ -99,6 +100,11 @@
 	mu      sync.Mutex
 	waiting []*waiter
 	full    map[domain.UpstreamID]rejection
+	// shares tells which customers got more than their share of the places. typical is the mean
+	// memory of recent requests in tokens. placed counts the recent places.
+	shares  *urgency.Shares
+	typical float64
+	placed  urgency.Rate
 }
 
 // rejection records the size of a reservation that an engine rejected. It is ignored
@@ -139,6 +145,9 @@
 	giveUp := f.slotNeededSince.Add(min(maxWaitTargets*target, patience))
 	q.enqueue(w)
 	defer q.remove(w)
+	if refusal := p.hopelessRefusal(f, q, w, giveUp); refusal != nil {
+		return nil, refusal
+	}
 	unreached := 0
 	for {
 		if refusal := p.gate.quarantined(f); refusal != nil {
@@ -158,8 +167,9 @@
 		}
 		now := time.Now()
 		if q.isFirst(w, now) {
-			r, result := p.tryReserve(ctx, f, q, now, w.isLate(now))
+			r, result := p.tryReserve(ctx, f, q, now, w)
 			if r != nil {
+				q.gotPlace(w, time.Now())
 				return r, nil
 			}
 			if result == tryLimited && f.left() == 0 {
@@ -229,6 +239,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.waiting = append(q.waiting, w)
+	q.observe(w.tokens)
 }
 
 func (q *slotQueue) remove(w *waiter) {
@@ -250,6 +261,9 @@
 // heads returns the first request of each line.
 func (q *slotQueue) heads(now time.Time) map[line]*waiter {
 	first := make(map[line]*waiter, 1)
+	for _, w := range q.waiting {
+		w.excess = q.shares.Excess(w.customer, now)
+	}
 	for _, w := range q.waiting {
 		if head, ok := first[w.line]; !ok || w.compare(head.turn, now) < 0 {
 			first[w.line] = w
@@ -307,13 +321,14 @@
 
 // tryReserve asks a few engines for a slot, the cheapest first. It returns nil if
 // none grants it.
-func (p *slotReserver) tryReserve(ctx context.Context, f *inFlight, q *slotQueue, now time.Time, late bool) (*traffic.Reservation, tryResult) {
+func (p *slotReserver) tryReserve(ctx context.Context, f *inFlight, q *slotQueue, now time.Time, w *waiter) (*traffic.Reservation, tryResult) {
 	g := p.gate
 	needed := estimateTokens(f.req)
 	headroom := int(growthHeadroomFactor * float64(f.req.MaxOutput))
-	if late {
+	if w.isLate(now) {
 		headroom = lateHeadroomRequests * needed
 	}
+	headroom = max(headroom, q.levelHeadroom(w, f.engine.MemoryTokens, now))
 	// The headroom must not keep a request that fits from an empty engine.
 	tokens := max(needed, min(needed+headroom, f.engine.MemoryTokens))
 	full := false
@@ -409,5 +424,5 @@
 	waiting := len(q.waiting)
 	q.mu.Unlock()
 	return domain.Refuse(domain.RefusalOverloaded, "no place on a decode engine became free",
-		"try again after the stated time").WithRetryAfter(overloadRetryAfter + time.Duration(waiting)*pollInterval)
+		"try again after the stated time").WithRetryAfter(f.level.RetryAfter(overloadRetryAfter + time.Duration(waiting)*pollInterval))
 }
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -75,7 +75,7 @@
 		return
 	}
 	if c.isUnreached() && f.req.Hop != nil {
-		g.refuse(f.req, caller, cutOffRefusal(f.service))
+		g.refuseAtLevel(f, caller, cutOffRefusal(f.service))
 		return
 	}
 	if c.isUnreached() {
@@ -83,11 +83,11 @@
 		if refusal := g.passOn(ctx, h); refusal == nil {
 			return
 		} else if h.mayHaveRun {
-			g.refuse(f.req, caller, refusal)
+			g.refuseAtLevel(f, caller, refusal)
 			return
 		}
 	}
-	g.refuse(f.req, caller, g.plainRefusal(c))
+	g.refuseAtLevel(f, caller, g.plainRefusal(c))
 }
 
 // isUnreached reports whether none of the upstreams that were tried has been reached, so that
--- a/traffic/request.go
+++ b/traffic/request.go
@@ -116,6 +116,9 @@
 	// Prompt and Reservation are nil if the attempt has none.
 	Prompt      *Prompt
 	Reservation *Reservation
+	// Urgency is the urgency that the engine is told, 0 to 9 with 0 first. It is nil if the engine
+	// is told none.
+	Urgency *int
 }
 
 // Event is a complete event of a stream.
