--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -58,24 +58,23 @@
 // aged returns the level by which the request is ordered.
 func (t turn) aged(now time.Time) int { return t.level.Aged(now.Sub(t.since), t.target) }
 
-// compare orders requests: the more urgent ones come first, where less urgent ones become more
-// urgent as they wait. Within a level, those that can still be on time come first, then those of
-// customers that do not exceed their share, then the smaller ones before the larger ones. A request
-// passes the others of its level for less than its target latency only, as late ones come in the
-// order of their arrival.
+// compare orders requests: those that can still be on time come first. Among them, and among late
+// ones, the more urgent ones come first, where less urgent ones become more urgent as they wait, then
+// those of customers that do not exceed their share. Of those that can be on time the smaller ones
+// then come before the larger ones; late ones come in the order of their arrival, so that a request
+// passes the others of its level for less than its target latency only. A late request that came
+// before requests that can be on time would keep them waiting for the memory that it must leave free.
 func (t turn) compare(other turn, now time.Time) int {
-	if urgent := cmp.Compare(t.aged(now), other.aged(now)); urgent != 0 {
-		return urgent
-	}
 	late, otherLate := t.isLate(now), other.isLate(now)
 	switch {
 	case late && !otherLate:
 		return 1
 	case !late && otherLate:
 		return -1
-	case late:
-		return cmp.Or(cmp.Compare(t.excess, other.excess), t.arrived.Compare(other.arrived))
-	default:
-		return cmp.Or(cmp.Compare(t.excess, other.excess), cmp.Compare(t.size, other.size), t.arrived.Compare(other.arrived))
 	}
+	urgent := cmp.Or(cmp.Compare(t.aged(now), other.aged(now)), cmp.Compare(t.excess, other.excess))
+	if late {
+		return cmp.Or(urgent, t.arrived.Compare(other.arrived))
+	}
+	return cmp.Or(urgent, cmp.Compare(t.size, other.size), t.arrived.Compare(other.arrived))
 }
--- a/urgency/waiting.go
+++ b/urgency/waiting.go
@@ -8,10 +8,12 @@
 const (
 	// reliefTargets is the waiting time, in multiples of the target latency, from which a request
 	// counts as one of the most urgent level, in the order and for the headroom. It is below the
-	// time at which the request is late, so that less urgent requests can still be on time.
-	reliefTargets = 0.6
-	// headroomRequests is the memory, in typical requests for each level, that a request leaves
-	// free for more urgent ones when it begins to wait.
+	// time at which a request gives up. With 1 and 1.5 less of the credit was earned in the replay,
+	// with 3 requests of the last level were served too rarely (docs/design/urgency.md).
+	reliefTargets = 2
+	// headroomRequests is the memory, in typical requests, that one of the last level leaves free
+	// for more urgent ones when it begins to wait. Twice as much leaves too much memory unused at
+	// the usual load, half as much too little for the most urgent requests.
 	headroomRequests = 1.0
 	// maxHeadroomShare bounds the headroom, as a share of an engine's memory: an engine that is
 	// half empty takes requests of every level.
@@ -36,16 +38,21 @@
 }
 
 // Aged returns the level in the order of waiting requests. It falls with the time waited and is 0
-// from reliefTargets on. No request therefore waits behind more urgent ones for longer than that.
+// from reliefTargets on, so that a request waits behind requests for their urgency for no longer
+// than that.
 func (l Level) Aged(waited, target time.Duration) int {
 	return int(math.Ceil(l.pressure(waited, target)))
 }
 
 // Headroom returns the memory in tokens that must stay free on an engine for more urgent requests
-// where a request of this level gets a place. typical is the memory of a typical request of the
+// where a request of this level gets a place. It grows evenly with the level and falls evenly with
+// the time waited, to 0 at reliefTargets. typical is the memory of a typical request of the
 // service, memory that of an engine.
 func (l Level) Headroom(waited, target time.Duration, typical, memory int) int {
-	headroom := headroomRequests * l.pressure(waited, target) * float64(typical)
+	if !l.Matters() {
+		return 0
+	}
+	headroom := headroomRequests * l.pressure(waited, target) / float64(l.Count-1) * float64(typical)
 	return int(min(headroom, maxHeadroomShare*float64(memory)))
 }
 
