dispatch, urgency: rejected plain calls and hopeless requests by level

Cause: a rejected plain call took the next upstream's place from more urgent ones, and all were told the same time to return. A request counted as hopeless because of others that give up before it. Change: a rejected plain call pauses for 20 ms where a more urgent one was rejected at the host within 200 ms; full, over-budget and overload refusals have retry delays by level. Only requests that wait for longer count against a request, at twice the recent pace of places.

--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -108,7 +108,7 @@
 // the retry budget is used up.
 func overBudgetRefusal(n *generation) *domain.Refusal {
 	return domain.Refuse(domain.RefusalOverloaded, "the retry budget is used up",
-		"try again after the stated time").WithRan(n.ran()).WithRetryAfter(busyRetryAfter)
+		"try again after the stated time").WithRan(n.ran()).WithRetryAfter(n.level.RetryAfter(busyRetryAfter))
 }
 
 // attempt reserves a slot, has the prompt prefilled and relays the stream. It
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -125,6 +125,8 @@
 type waiter struct {
 	turn
 	line line
+	// giveUp is when the request is refused without a slot.
+	giveUp time.Time
 	// wake is signalled when the request may have become the first of the queue.
 	wake chan struct{}
 }
@@ -142,10 +144,10 @@
 	}
 	w := &waiter{turn: newTurn(f, target), line: line{f.bound, f.version}, wake: make(chan struct{}, 1)}
 	patience := time.Duration(maxWaitShare * float64(f.answerDeadline.Sub(f.slotNeededSince)))
-	giveUp := f.slotNeededSince.Add(min(maxWaitTargets*target, patience))
+	w.giveUp = f.slotNeededSince.Add(min(maxWaitTargets*target, patience))
 	q.enqueue(w)
 	defer q.remove(w)
-	if refusal := p.hopelessRefusal(f, q, w, giveUp); refusal != nil {
+	if refusal := p.hopelessRefusal(f, q, w); refusal != nil {
 		return nil, refusal
 	}
 	unreached := 0
@@ -173,7 +175,7 @@
 				return r, nil
 			}
 			if result == tryLimited && f.left() == 0 {
-				return nil, fullRefusal()
+				return nil, fullRefusal(f.level)
 			}
 			if result == tryLimited {
 				return nil, p.gate.rateLimitedRefusal(f)
@@ -184,7 +186,7 @@
 				return nil, cutOffRefusal(f.service)
 			}
 		}
-		if now.After(giveUp) {
+		if now.After(w.giveUp) {
 			return nil, p.overloadedRefusal(f, q)
 		}
 		interval := pollInterval
--- a/dispatch/plain.go
+++ b/dispatch/plain.go
@@ -8,6 +8,7 @@
 
 	"greengagespoke/domain"
 	"greengagespoke/traffic"
+	"greengagespoke/urgency"
 )
 
 const (
@@ -68,6 +69,7 @@
 		if c.mayHaveRun && !f.route.Repeatable() {
 			break
 		}
+		g.yieldRetry(ctx, c)
 	}
 	if c.answer != nil {
 		g.metrics.answered.Add(1)
@@ -199,13 +201,13 @@
 	case c.lastErr == nil:
 		return noUpstreamRefusal(c.service)
 	default:
-		return fullRefusal()
+		return fullRefusal(c.level)
 	}
 }
 
 // fullRefusal is the refusal of a request that the upstreams rejected to which it may be sent. The
 // caller's next attempt may go to others.
-func fullRefusal() *domain.Refusal {
+func fullRefusal(level urgency.Level) *domain.Refusal {
 	return domain.Refuse(domain.RefusalOverloaded, "the upstreams that were asked are full or out of reach",
-		"try again after the stated time").WithRetryAfter(busyRetryAfter)
+		"try again after the stated time").WithRetryAfter(level.RetryAfter(busyRetryAfter))
 }
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -1,12 +1,15 @@
 package dispatch
 
 import (
+	"context"
 	"expvar"
 	"sync/atomic"
 	"time"
 
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/internal/pause"
+	"greengagespoke/internal/shard"
 	"greengagespoke/traffic"
 	"greengagespoke/urgency"
 )
@@ -16,6 +19,13 @@
 	countedLevels = 4
 	// typicalRequests is the number of recent requests over which their typical memory is averaged.
 	typicalRequests = 32
+	// yieldPause is how long a plain call that an upstream rejected leaves the other upstreams to
+	// more urgent calls: about the time in which two places in the queue of an upstream with six
+	// slots become free.
+	yieldPause = 20 * time.Millisecond
+	// rejectionMemory is how long a rejection of a more urgent call counts: the target latency of
+	// plain calls, in which it is tried elsewhere.
+	rejectionMemory = 200 * time.Millisecond
 )
 
 var (
@@ -37,16 +47,19 @@
 		counters.Define("dispatch_level2_wait_ms", "the same of the third level"),
 		counters.Define("dispatch_level3_wait_ms", "the same of all further levels"),
 	}
-	defHopeless = counters.Define("dispatch_hopeless", "requests that were rejected at once, as more urgent ones waited for all places that they could have got")
+	defYielded  = counters.Define("dispatch_yielded", "plain calls that were rejected by an upstream and left the next one to more urgent calls")
+	defHopeless = counters.Define("dispatch_hopeless", "requests that were rejected at once, as others that come first waited for all slots that they could have got")
 )
 
 // urgencies holds the levels of the configuration in force and the counters by level.
 type urgencies struct {
-	current  atomic.Pointer[configLevels]
-	hopeless *expvar.Int
-	places   [countedLevels]*expvar.Int
-	refused  [countedLevels]*expvar.Int
-	wait     [countedLevels]*counters.Histogram
+	current atomic.Pointer[configLevels]
+	// rejections holds when upstreams of each service last rejected a plain call of each level.
+	rejections        *shard.Map[traffic.ServiceName, [urgency.MaxLevels]time.Time]
+	hopeless, yielded *expvar.Int
+	places            [countedLevels]*expvar.Int
+	refused           [countedLevels]*expvar.Int
+	wait              [countedLevels]*counters.Histogram
 }
 
 // configLevels holds the levels of one configuration.
@@ -56,7 +69,10 @@
 }
 
 func newUrgencies(set *counters.Set) *urgencies {
-	u := &urgencies{hopeless: set.Int(defHopeless)}
+	u := &urgencies{
+		rejections: shard.NewMap[traffic.ServiceName, [urgency.MaxLevels]time.Time](),
+		hopeless:   set.Int(defHopeless), yielded: set.Int(defYielded),
+	}
 	for i := range countedLevels {
 		u.places[i], u.refused[i], u.wait[i] = set.Int(defLevelPlaces[i]), set.Int(defLevelRefused[i]), set.Histogram(defLevelWait[i])
 	}
@@ -138,9 +154,9 @@
 	q.shares.Placed(w.customer, w.tokens, now)
 }
 
-// hopelessRefusal is the refusal of a request that gets no slot before it gives up, as more come
-// before it than can get one. It returns nil if the request may get one.
-func (p *slotReserver) hopelessRefusal(f *inFlight, q *slotQueue, w *waiter, giveUp time.Time) *domain.Refusal {
+// hopelessRefusal is the refusal of a request that gets no slot before it gives up, as too many come
+// before it that wait for longer. It returns nil if the request may get one.
+func (p *slotReserver) hopelessRefusal(f *inFlight, q *slotQueue, w *waiter) *domain.Refusal {
 	if !w.level.Matters() {
 		return nil
 	}
@@ -148,15 +164,35 @@
 	defer q.mu.Unlock()
 	now, ahead := time.Now(), 0
 	for _, other := range q.waiting {
-		if other != w && other.line == w.line && other.compare(w.turn, now) < 0 {
+		if other != w && other.line == w.line && other.giveUp.After(w.giveUp) && other.compare(w.turn, now) < 0 {
 			ahead++
 		}
 	}
 	placed, window := q.placed.Count(now)
-	if !w.level.Hopeless(ahead, placed, window, giveUp.Sub(now)) {
+	if !w.level.Hopeless(ahead, placed, window, w.giveUp.Sub(now)) {
 		return nil
 	}
 	p.gate.urgency.hopeless.Add(1)
-	return domain.Refuse(domain.RefusalOverloaded, "more urgent requests wait for all places on decode engines",
+	return domain.Refuse(domain.RefusalOverloaded, "other requests come first for all places on decode engines",
 		"try again after the stated time").WithRetryAfter(f.level.RetryAfter(overloadRetryAfter + time.Duration(len(q.waiting))*pollInterval))
 }
+
+// yieldRetry lets more urgent calls that upstreams of the service rejected at this host go first
+// to the others. A call that has no further attempt does not wait.
+func (g *Gate) yieldRetry(ctx context.Context, c *plainCall) {
+	if !c.level.Matters() || c.left() == 0 || c.lastErr.Effect != traffic.EffectRejected {
+		return
+	}
+	now, yields := time.Now(), false
+	g.urgency.rejections.Update(c.service, func(last [urgency.MaxLevels]time.Time, _ bool) ([urgency.MaxLevels]time.Time, bool) {
+		for _, at := range last[:c.level.Index] {
+			yields = yields || now.Sub(at) < rejectionMemory
+		}
+		last[c.level.Index] = now
+		return last, true
+	})
+	if yields {
+		g.urgency.yielded.Add(1)
+		pause.For(ctx, yieldPause)
+	}
+}
--- a/urgency/shares.go
+++ b/urgency/shares.go
@@ -25,7 +25,7 @@
 // quota. It is not safe for concurrent use.
 type Shares struct {
 	used *bounded.Map[traffic.CustomerName, share]
-	// total is the sum of the shares, active the number of customers that have one, both as of at.
+	// total is the sum of the shares as of at.
 	total float64
 	at    time.Time
 }
@@ -56,11 +56,14 @@
 	}
 	cost := float64(tokens) / rate
 	s.used.Put(c.Name, share{sum: s.used.Entries[c.Name].now(now) + cost, at: now})
-	s.total, s.at = s.total*decay(now.Sub(s.at))+cost, now
+	s.total, s.at = 0, now
 	for name, other := range s.used.Entries {
-		if other.now(now) < minShare {
+		sum := other.now(now)
+		if sum < minShare {
 			s.used.Remove(name)
+			continue
 		}
+		s.total += sum
 	}
 }
 
--- a/urgency/waiting.go
+++ b/urgency/waiting.go
@@ -23,8 +23,9 @@
 	// maxRetryFactor bounds the retry delay, in multiples of that of the most urgent level.
 	maxRetryFactor = 2.0
 	// fasterPlaces is how many times faster than lately places may become free before a request
-	// that was refused as hopeless could have had one.
-	fasterPlaces = 4
+	// that was refused as hopeless could have had one. A third of the engines that comes back
+	// makes it 1.5.
+	fasterPlaces = 2
 )
 
 // pressure is how far a request stands behind those of the most urgent level: its level when it
@@ -65,9 +66,9 @@
 }
 
 // Hopeless reports whether a request that arrives can get no place before it gives up, even if
-// places become free several times faster than lately. ahead is the number of requests that come
-// first, placed that of the places that the queue got within the time window, remaining how long
-// the request may wait. Without a recent place nothing is known, and the request waits.
+// places become free faster than lately. ahead is the number of requests that come first and wait
+// for longer, placed that of the places that the queue got within the time window, remaining how
+// long the request may wait. Without a recent place nothing is known, and the request waits.
 func (l Level) Hopeless(ahead, placed int, window, remaining time.Duration) bool {
 	if !l.Matters() || l.Index == 0 || placed == 0 {
 		return false
