--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -45,6 +45,8 @@
 	// reservationReleased is called with the tokens of each reservation that is
 	// released on a decode engine. It may be nil.
 	reservationReleased func(tokens int)
+	// released is called with each reservation that is released on a decode engine. It may be nil.
+	released func(r *traffic.Reservation)
 	// callRequest replaces call unless it is nil.
 	callRequest func(req *traffic.Request) (*traffic.Answer, error)
 	// listening is asked after lost connections.
@@ -133,6 +135,9 @@
 	if w.reservationReleased != nil && r.Engine.Role == domain.RoleDecode {
 		w.reservationReleased(r.Tokens)
 	}
+	if w.released != nil && r.Engine.Role == domain.RoleDecode {
+		w.released(r)
+	}
 }
 
 func (w *fakeUpstreams) ReleasePrompt(p *traffic.Prompt) { w.record("drop prompt %s", p.Engine.ID) }
