--- a/dispatch/charge_test.go
+++ b/dispatch/charge_test.go
@@ -18,6 +18,7 @@
 // counters.
 func withQuotas(f *fixture, customer *traffic.Customer, granted bool) *counters.Set {
 	set := counters.NewSet()
+	f.catalog.Apply(withKeys(f.catalog.Config(), *customer), "test")
 	f.gate.cfg.Quotas = quota.New(quota.Config{
 		Self: "h", Zone: testZone, Ready: func() bool { return true }, Counters: set,
 		Members:  func() []domain.Member { return []domain.Member{{ID: "h", Zone: testZone, State: domain.MemberAlive}} },
@@ -60,9 +61,12 @@
 					f.call = func(*traffic.Upstream) (*traffic.Answer, error) { return nil, test.err }
 				}
 				req, ctx := newRequest(test.path), t.Context()
-				req.Customer = customer
-				if test.hop {
-					req.Hop = &traffic.Hop{Version: 1, Grant: &traffic.Grant{Service: testPlain, Upstreams: 1}}
+				req.Credential = keyOf(customer.Name)
+				if config := f.catalog.Config(); test.hop {
+					req.Hop = &traffic.Hop{
+						Version: config.Version, Grant: &traffic.Grant{Service: testPlain, Upstreams: 1},
+						Customers: true, Customer: customer.Name, CustomerMAC: config.HopMAC(req.ID, customer.Name),
+					}
 				}
 				if test.leaves {
 					f.reserve = func(*traffic.Upstream, int) error { return errRejected }
@@ -95,7 +99,7 @@
 			began := time.Now()
 			for range sent + 1 {
 				req := newRequest("/once/x")
-				req.Customer = customer
+				req.Credential = keyOf(customer.Name)
 				last, began = &fakeCaller{}, time.Now()
 				f.gate.Serve(t.Context(), req, last)
 			}
--- a/dispatch/customers_test.go
+++ b/dispatch/customers_test.go
@@ -12,16 +12,28 @@
 // withCustomers applies the fixture's configuration with a public route and customers: each has the
 // key "key of NAME".
 func withCustomers(f *fixture, names ...traffic.CustomerName) *traffic.Config {
-	next := *f.catalog.Config()
-	next.Version++
-	next.RequiresKeys, next.HopKey, next.Customers = true, []byte("secret"), nil
-	for _, name := range names {
-		next.Customers = append(next.Customers, traffic.Customer{Name: name, Keys: []traffic.Credential{keyOf(name)}})
+	customers := make([]traffic.Customer, len(names))
+	for i, name := range names {
+		customers[i].Name = name
 	}
+	next := withKeys(f.catalog.Config(), customers...)
 	public := route("/public/", testPlain, traffic.Idempotent, 2)
 	public.Public = true
 	next.Routes = append(next.Routes[:len(next.Routes):len(next.Routes)], public)
-	f.catalog.Apply(&next, "test")
+	f.catalog.Apply(next, "test")
+	return next
+}
+
+// withKeys returns the next version of a configuration, in which each customer has the key "key of
+// NAME".
+func withKeys(config *traffic.Config, customers ...traffic.Customer) *traffic.Config {
+	next := *config
+	next.Version++
+	next.RequiresKeys, next.HopKey, next.Customers = true, []byte("secret"), nil
+	for _, c := range customers {
+		c.Keys = []traffic.Credential{keyOf(c.Name)}
+		next.Customers = append(next.Customers, c)
+	}
 	return &next
 }
 
