soak: callers carry keys

Cause: no run of whole processes under faults had customers, so a key that reaches an upstream only after a crash, a cut or a restart would not have shown. Change: callers carry keys of residents, of guests that a change of the configuration takes away, and one that no version has, and state a made-up name. Findings: an unknown key or one that was taken away is served, a valid key is refused, a key reaches a worker, a message has another name than its customer's. Beside the last release, which knows no customers, the configuration has none.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -117,24 +117,28 @@
 		}
 		req.Header.Set(wire.HeaderLastEventID, strconv.Itoa(t.last))
 	}
+	customer := customerOf(t.first)
+	r.keys.authorize(req, customer)
 	sentAt := time.Now()
 	req.Header.Set(headerSoakHost, h.name)
 	req.Header.Set(headerSoakSent, strconv.FormatInt(sentAt.UnixNano(), 10))
 	resp, err := client.Do(req)
 	if err != nil {
 		r.ledger.add(sent{id: id, kind: k, host: h.name})
-		r.cut.count(h, sentAt, false)
+		r.countCut(h, sentAt, customer, false)
 		return t
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := readAnswer(resp.Body, k == kindNote && t.last == 0 && strings.HasSuffix(id, "0"))
 	r.words.observe(h.name, resp.Header)
 	s := sent{id: id, kind: k, host: h.name, status: resp.StatusCode}
-	s.promised = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	s.promised = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests ||
+		resp.StatusCode == http.StatusUnauthorized
 	r.ledger.add(s)
 	if t.last == 0 {
-		r.cut.count(h, sentAt, resp.StatusCode == http.StatusOK)
+		r.countCut(h, sentAt, customer, resp.StatusCode == http.StatusOK)
 	}
+	r.checkStatus(h, id, customer, resp.StatusCode, calm)
 	if calm && strings.Contains(body, string(domain.RefusalQuarantined)) {
 		r.ledger.find("request %s with the parts %s was refused by %s as if it crashed workers", id, t.parts, h.name)
 	}
@@ -156,6 +160,13 @@
 	return t
 }
 
+// countCut counts a request whose key is valid in all versions.
+func (r *run) countCut(h *host, sentAt time.Time, customer string, answered bool) {
+	if isResident(customer) {
+		r.cut.count(h, sentAt, answered)
+	}
+}
+
 // errBrokenOff means that the caller broke a stream off.
 var errBrokenOff = errors.New("the caller broke the stream off")
 
--- a/soak/crashes.go
+++ b/soak/crashes.go
@@ -144,6 +144,7 @@
 		req.Header.Set(wire.HeaderRequestID, id)
 		req.Header.Set(wire.HeaderDeadline, strconv.FormatInt(callerWait.Milliseconds(), 10))
 		req.Header.Set(wire.HeaderTokenCount, "1000,300")
+		r.keys.authorize(req, residents[0])
 		if c.parts != "" {
 			req.Header.Set(wire.HeaderPromptParts, promptParts(c.parts, id))
 		}
@@ -163,6 +164,7 @@
 	w.SetStream(streamEvents, 15*time.Millisecond)
 	w.SetCrashOn(r.crashOn)
 	w.OnArrival(r.words.arrived)
+	w.OnMessage(r.keys.message)
 	w.OnCrash(func() { r.workerEnded(w) })
 	w.Register(r.store, "ready")
 	r.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -78,6 +78,7 @@
 	limits limits
 	cut    cut
 	words  words
+	keys   keys
 	// broken says that runs fail at all workers, so that all but those with a limit may be used up.
 	broken atomic.Bool
 	// healed is when the last fault ended, in Unix nanoseconds, or 0.
@@ -129,6 +130,7 @@
 	r.checkCrashes(lastFault)
 	r.checkLimits()
 	r.checkWords()
+	r.checkKeys()
 	r.checkCut()
 	byRequest, _ := r.crashingRequest.count(lastFault)
 	byPart, _ := r.crashingPart.count(lastFault)
@@ -205,7 +207,7 @@
 		{Prefix: "/status/", Kind: platformtest.KindRepeat, Service: plain, Attempts: kindStatus.attempts()},
 		{Prefix: "/draft/", Kind: platformtest.KindStream, Service: "models", Attempts: kindDraft.attempts(), Engine: true},
 		{Prefix: "/note/", Kind: platformtest.KindStream, Service: "models", Attempts: kindNote.attempts(), Engine: true, Resume: true},
-	})
+	}, r.customersOf(r.version)...)
 }
 
 // seen returns the highest version that a life of a host has shown.
