quota: a request is refused as over the quota only after a denial

Cause: a request that had waited for six answers while questions were outstanding could be refused as unknown, though granting hosts answered. Change: without a denial it waits on, up to its limit. A test of the bounds of the settings.

--- a/platformentry/reload_test.go
+++ b/platformentry/reload_test.go
@@ -6,7 +6,9 @@
 	"path/filepath"
 	"syscall"
 	"testing"
+	"time"
 
+	"greengagespoke/platform/platformtest"
 	"greengagespoke/platform/settings"
 	"greengagespoke/platform/wire"
 )
@@ -64,6 +66,23 @@
 	}
 }
 
+// The bounds of quotas were ignored, or a negative one granted nothing to anybody.
+func TestBoundsOfQuotas(t *testing.T) {
+	for overage, valid := range map[float64]bool{0.1: true, -0.1: false} {
+		file := platformtest.SettingsFile("a", "z", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5")
+		bounds := file["bounds"].(map[string]any)
+		bounds["quota_window_s"], bounds["quota_overage"], bounds["quota_slack"] = 8, overage, 140000
+		text, err := json.Marshal(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, err := settings.Decode(text)
+		if (err == nil) != valid || s.QuotaWindow != 8*time.Second || s.QuotaOverage != overage || s.QuotaSlack != 140_000 {
+			t.Errorf("%+v, %v", s, err)
+		}
+	}
+}
+
 func TestInvalidSettingsAreRejected(t *testing.T) {
 	for _, text := range []string{"{", `{"node": 7}`, `{"node":"a"}`, `{"node":"a","zone":"z","listen":{"front":"here"}}`} {
 		if _, err := settings.Decode([]byte(text)); err == nil {
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -229,15 +229,15 @@
 		a.finish(w, charge, nil)
 		return
 	}
-	answers, outstanding := false, planned
+	denied, outstanding := false, planned
 	for _, s := range a.sources {
-		answers = answers || s.known && !s.failed
+		denied = denied || s.known && !s.failed && s.denied
 		outstanding = outstanding || s.asking && !s.failed
 	}
-	if outstanding && a.answers-w.since < answersAwaited*len(a.sources) {
+	if outstanding && (!denied || a.answers-w.since < answersAwaited*len(a.sources)) {
 		return // The answer may change the decision.
 	}
-	if answers {
+	if denied {
 		a.finish(w, Charge{}, a.denial(now, w.cost))
 		return
 	}
