dispatch: no race on the excess of a waiting request

Cause: isLate copied the whole turn without the lock of the queue, while another request's check of the order wrote the excess of its customer into it. Change: isLate reads by pointer.

--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -53,10 +53,10 @@
 	return req.MaxOutput
 }
 
-func (t turn) isLate(now time.Time) bool { return now.After(t.onTimeUntil) }
+func (t *turn) isLate(now time.Time) bool { return now.After(t.onTimeUntil) }
 
 // aged returns the level by which the request is ordered.
-func (t turn) aged(now time.Time) int { return t.level.Aged(now.Sub(t.since), t.target) }
+func (t *turn) aged(now time.Time) int { return t.level.Aged(now.Sub(t.since), t.target) }
 
 // compare orders requests: those that can still be on time come first. Among them, and among late
 // ones, the more urgent ones come first, where less urgent ones become more urgent as they wait, then
