membudget, platform: requests and responses share a bounded memory

Go's runtime did not know the memory limit, and the system grew socket buffers to several MB each. Change: internal/membudget grants room for bodies, buffered responses and messages of other hosts from limits.memory_mb, at once or not at all; refused bodies get 503 (no_memory), and a host that another one passed the request to declines it. Bodies are written without a copy; a response without room is passed on as its caller reads. The runtime's memory limit and the socket buffers follow the settings. Without a limit, the constants are as before.

--- a/adapters/gatehttp/refusal.go
+++ b/adapters/gatehttp/refusal.go
@@ -27,7 +27,8 @@
 		return http.StatusTooManyRequests
 	case domain.RefusalQuarantined:
 		return http.StatusUnprocessableEntity
-	case domain.RefusalNoUpstream, domain.RefusalLeaving, domain.RefusalStoreDown, domain.RefusalNotResumable, domain.RefusalCutOff:
+	case domain.RefusalNoUpstream, domain.RefusalLeaving, domain.RefusalStoreDown, domain.RefusalNotResumable, domain.RefusalCutOff,
+		domain.RefusalNoMemory:
 		return http.StatusServiceUnavailable
 	case domain.RefusalUpstreamFailed:
 		return http.StatusBadGateway
--- a/adapters/peerrpc/server.go
+++ b/adapters/peerrpc/server.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/twitchtv/twirp"
+	"k8s.io/klog/v2"
 
 	"greengagespoke/adapters/peerrpc/peerpb"
 	"greengagespoke/counters"
+	"greengagespoke/internal/membudget"
 	"greengagespoke/ports"
 )
 
@@ -66,6 +68,8 @@
 	ClockSkew time.Duration
 	// Counters receives the traffic counters; nil discards them.
 	Counters *counters.Set
+	// Memory is the memory for the bodies of requests. If it is nil, it is not limited.
+	Memory *membudget.Budget
 }
 
 // NewServer returns the HTTP handler for requests from other hosts. Requests that
@@ -89,10 +93,14 @@
 	if cfg.ClockSkew > 0 {
 		auth.maxSkew = cfg.ClockSkew
 	}
+	if cfg.Memory == nil {
+		cfg.Memory = membudget.New(0, cfg.Counters)
+	}
 	return &server{
 		next:    mux,
 		auth:    auth,
 		traffic: newTraffic(cfg.Counters),
+		memory:  cfg.Memory,
 	}
 }
 
@@ -101,13 +109,17 @@
 	next    http.Handler
 	auth    *authenticator
 	traffic *traffic
+	memory  *membudget.Budget
 }
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	var hold membudget.Hold
+	s.memory.Open(&hold)
+	defer hold.Release()
+	body, err := membudget.Read(r.Body, membudget.Body{Use: membudget.Messages, Declared: r.ContentLength, Max: maxRequestBytes}, &hold)
 	if err != nil {
-		writeBodyError(w, err)
+		s.writeBodyError(w, r, err)
 		return
 	}
 	if err := s.auth.verify(r, body); err != nil {
@@ -129,13 +141,17 @@
 	}
 }
 
-func writeBodyError(w http.ResponseWriter, err error) {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+func (s *server) writeBodyError(w http.ResponseWriter, r *http.Request, err error) {
+	w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, membudget.ErrTooLarge):
 		_ = twirp.WriteError(w, twirp.ResourceExhausted.Error("request body is too large; send less in one call"))
-		return
+	case errors.Is(err, membudget.ErrNoRoom):
+		klog.InfoS("message of another host refused for lack of memory", "path", r.URL.Path, "size", r.ContentLength, "held", s.memory.HeldInAll(), "budget", s.memory.Total())
+		_ = twirp.WriteError(w, twirp.Unavailable.Error("no memory is left for the request body; send it again later"))
+	default:
+		_ = twirp.WriteError(w, twirp.Malformed.Error("request body could not be read; send it again"))
 	}
-	_ = twirp.WriteError(w, twirp.Malformed.Error("request body could not be read; send it again"))
 }
 
 // contextWithCallerDeadline returns the request's context with the deadline that
--- a/domain/refusal.go
+++ b/domain/refusal.go
@@ -45,6 +45,7 @@
 	RefusalInternal        RefusalKind = "internal"
 	RefusalCutOff          RefusalKind = "cut_off"
 	RefusalNotResumable    RefusalKind = "not_resumable"
+	RefusalNoMemory        RefusalKind = "no_memory"
 )
 
 // Refusal is the typed error that a caller receives instead of a response.
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -26,6 +26,7 @@
 	"greengagespoke/dispatch"
 	"greengagespoke/domain"
 	"greengagespoke/internal/httplimit"
+	"greengagespoke/internal/membudget"
 	"greengagespoke/membership"
 	"greengagespoke/origins"
 	"greengagespoke/platform/ingress"
@@ -78,6 +79,10 @@
 type Daemon struct {
 	settings *settings.Settings
 	network  tcp.Network
+	// memory is the memory for requests and responses. ownsProcess says that no other daemon runs
+	// in the process, so that the limits of its runtime are this one's.
+	memory      *membudget.Budget
+	ownsProcess bool
 	// drainLimit and maxAddressListTTL are settings that may change while the host runs,
 	// as a time.Duration.
 	drainLimit        atomic.Int64
@@ -117,14 +122,21 @@
 
 // New returns a daemon for validated settings. The counters are served on metricsPort
 // of the host's address; 0 disables this. Nothing listens before Run.
-func New(s *settings.Settings, metricsPort int) *Daemon { return NewOn(tcp.System, s, metricsPort) }
+func New(s *settings.Settings, metricsPort int) *Daemon {
+	d := NewOn(tcp.System, s, metricsPort)
+	d.ownsProcess = true
+	d.limitRuntime(s)
+	return d
+}
 
 // NewOn returns a daemon as New does, whose connections and listeners are those of a network.
 func NewOn(network tcp.Network, s *settings.Settings, metricsPort int) *Daemon {
 	logging.UseKlog()
-	network = tcp.Hedged(network)
 	counterSet := counters.NewSet()
-	d := &Daemon{settings: s, network: network, catalog: catalog.New(), upstreams: upstream.NewOn(network)}
+	memory := membudget.New(s.MemoryBytes, counterSet)
+	network = tcp.Buffered(tcp.Hedged(network), memory.SocketBuffer)
+	d := &Daemon{settings: s, network: network, memory: memory, catalog: catalog.New(), upstreams: upstream.NewOn(network)}
+	d.upstreams.Bound(memory)
 	self := domain.Member{
 		ID: s.Host, Zone: s.Zone, PeerAddress: s.Peers, CallerAddress: s.Callers, State: domain.MemberAlive,
 	}
@@ -358,18 +370,19 @@
 		}
 		return config.Limits, true
 	}
+	callers := ingress.CallersConfig{
+		Address: d.settings.Callers, Serve: d.serve, Limits: limits, Leaving: d.leaving.Load, Memory: d.memory, Urgency: d.urgency,
+	}
 	peers := khttp.NewServer(khttp.Address(d.settings.Peers), khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler {
-			return ingress.NewHops(ingress.CallersConfig{Serve: d.serve, Limits: limits, Leaving: d.leaving.Load}, peerrpc.NewServer(peerrpc.ServerConfig{
+			return ingress.NewHops(callers, peerrpc.NewServer(peerrpc.ServerConfig{
 				Gossip: d.members, Tables: d.configPeers, Relay: d.storeSource.Mirror(), Rates: d.rateLimits, Origins: d.origins,
 				Reach: d.reach,
-				Key:   peerKey, ClockSkew: maxClockSkew, Counters: counterSet,
+				Key:   peerKey, ClockSkew: maxClockSkew, Counters: counterSet, Memory: d.memory,
 			}))
 		}))
 	listeners := []kratosServer{
-		d.listener(d.settings.Callers, ingress.NewCallers(ingress.CallersConfig{
-			Address: d.settings.Callers, Serve: d.serve, Limits: limits, Leaving: d.leaving.Load,
-		})),
+		d.listener(d.settings.Callers, ingress.NewCallers(callers)),
 		d.listener(d.settings.Ready, ingress.NewReady(d.settings.Ready, d.ready)),
 		d.listener(d.settings.Directory, ingress.NewDirectory(d.settings.Directory, d.resolveAddresses)),
 		d.listener(d.settings.Peers, peers),
--- a/platformentry/reload.go
+++ b/platformentry/reload.go
@@ -70,5 +70,7 @@
 func (d *Daemon) applySettings(s *settings.Settings) {
 	d.drainLimit.Store(int64(s.DrainLimit))
 	d.maxAddressListTTL.Store(int64(s.MaxAddressListTTL))
+	d.limitRuntime(s)
+	d.memory.SetLimit(s.MemoryBytes)
 	d.retryBudget.Set(dispatch.BudgetLimits{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow})
 }
