traffic, platform: the parts of a prompt with their sizes

Cause: a request held only the identifiers of the shared parts of its prompt. Which engine holds how much of a prompt needs the sizes and the last part, which belongs to a session. Request.Parts is as before.

--- a/traffic/request.go
+++ b/traffic/request.go
@@ -30,6 +30,10 @@
 	// Parts identify the parts of the prompt that other requests may share, in order, by
 	// PartFingerprint. There are at most MaxParts.
 	Parts []uint64
+	// PromptParts are all parts of the prompt with their sizes, in order: the shared ones, and the
+	// last one, which belongs to the request or its session. There are at most MaxParts, and none
+	// behind one whose size is not known.
+	PromptParts []PromptPart
 	// LastEventID is the last event that the caller has of a stream that it takes up, and
 	// empty for other requests. Resumes is the ID of the request that brought the first event
 	// of that stream, as the caller states it.
@@ -76,6 +80,13 @@
 // PartFingerprint returns the fingerprint of a part of a prompt: a hash of its identifier.
 func PartFingerprint(id string) uint64 { return xxhash.Sum64String(id) }
 
+// PromptPart is a part of a prompt.
+type PromptPart struct {
+	// ID identifies the part, by PartFingerprint.
+	ID     uint64
+	Tokens int
+}
+
 // Answer is a complete response of an upstream.
 type Answer struct {
 	Status int
