placement: the prefix index also records what was sent

Cause: the index is built from events of engines alone. Hosts of the users' platform know only what they sent, and release parts one by one. Change: Hold, Release and Holders. A piece without holders is evicted first. Result: TestReleasedPiecesAreEvictedFirst fails without the change; the keeper's use of the index is as before.

--- a/placement/prefixindex.go
+++ b/placement/prefixindex.go
@@ -10,10 +10,10 @@
 // noEntry is the null link in the linked list of entries.
 const noEntry = -1
 
-// PrefixIndex records which prefill upstreams have which pieces of prompts in
-// their prefix caches. It is built from cache events, which may be late or
-// lost, so it is only a hint: it may list pieces that are no longer cached and
-// lack pieces that are. Its memory is bounded: when it is full, the least
+// PrefixIndex records which upstreams have which pieces of prompts in their
+// prefix caches. It is built from cache events (Apply, Expect), which may be late
+// or lost, or from what was sent to the upstreams (Hold, Release). It is only a
+// hint: it may list pieces that are no longer cached and lack pieces that are. Its memory is bounded: when it is full, the least
 // recently used piece is evicted. It is not safe for concurrent use.
 type PrefixIndex struct {
 	// capacity is the maximum number of pieces.
--- a/placement/prefixindex_test.go
+++ b/placement/prefixindex_test.go
@@ -78,3 +78,20 @@
 	wantMatch(t, x, []domain.PieceKey{100}, 1)
 	wantMatch(t, x, []domain.PieceKey{50}, 0)
 }
+
+// Pieces that were released by all their holders must not take the place of held ones.
+func TestReleasedPiecesAreEvictedFirst(t *testing.T) {
+	x := NewPrefixIndex(2, 2)
+	x.Hold(0, 1)
+	x.Hold(0, 2)
+	x.Hold(1, 2)
+	x.Release(0, 2)
+	if x.Holders(2) != 1 {
+		t.Errorf("%d holders, want 1", x.Holders(2))
+	}
+	x.Release(1, 2)
+	x.Hold(1, 3)
+	wantMatch(t, x, []domain.PieceKey{1}, 1, 0)
+	wantMatch(t, x, []domain.PieceKey{3}, 0, 1)
+	wantMatch(t, x, []domain.PieceKey{2}, 0, 0)
+}
--- a/placement/prefixlru.go
+++ b/placement/prefixlru.go
@@ -1,6 +1,10 @@
 package placement
 
-import "greengagespoke/domain"
+import (
+	"math/bits"
+
+	"greengagespoke/domain"
+)
 
 // DefaultIndexPieces is the default capacity of a PrefixIndex in pieces.
 const DefaultIndexPieces = 1 << 16
@@ -22,6 +26,34 @@
 	}
 }
 
+// Hold records that an upstream holds a piece, as known from what was sent there
+// rather than from an event.
+func (x *PrefixIndex) Hold(upstream int, key domain.PieceKey) { x.addHolder(upstream, key, false) }
+
+// Release records that an upstream no longer holds a piece. A piece without
+// holders is the next one to be evicted.
+func (x *PrefixIndex) Release(upstream int, key domain.PieceKey) {
+	x.removeHolder(upstream, key)
+	if at, ok := x.byKey[key]; ok && x.Holders(key) == 0 {
+		x.unlink(at)
+		x.linkOldest(at)
+	}
+}
+
+// Holders returns the number of upstreams that hold a piece.
+func (x *PrefixIndex) Holders(key domain.PieceKey) int {
+	at, ok := x.byKey[key]
+	if !ok {
+		return 0
+	}
+	count := 0
+	from := int(at) * x.wordsPerSet
+	for _, word := range x.holders[from : from+x.wordsPerSet] {
+		count += bits.OnesCount64(word)
+	}
+	return count
+}
+
 func (x *PrefixIndex) removeHolder(upstream int, key domain.PieceKey) {
 	at, ok := x.byKey[key]
 	if !ok {
@@ -90,6 +122,18 @@
 	}
 }
 
+func (x *PrefixIndex) linkOldest(at int32) {
+	x.entries[at].older = noEntry
+	x.entries[at].newer = x.oldest
+	if x.oldest != noEntry {
+		x.entries[x.oldest].older = at
+	}
+	x.oldest = at
+	if x.newest == noEntry {
+		x.newest = at
+	}
+}
+
 func (x *PrefixIndex) unlink(at int32) {
 	e := x.entries[at]
 	if e.newer == noEntry {
