promptcache, dispatch: engines that still hold the beginning of a prompt

Cause: engines were chosen without regard to the prompts that they hold, so that a session that returns with 5,400 of its 6,000 tokens had all of them read again. Change: promptcache records which parts this host sent to which engine process, least recently used first within the engine's memory, and learns the time per token and how often a belief of some age comes true. Prefill engines and decode engines that save at least 25 ms are weighed against the wait there and what would be evicted. Prompts read for nothing are counted by cause.

--- a/dispatch/counts.go
+++ b/dispatch/counts.go
@@ -35,20 +35,38 @@
 	defHopsFailed           = counters.Define("dispatch_hops_failed", "those that the other host did not serve")
 	defHopsGivenUp          = counters.Define("dispatch_hops_given_up", "those that were given up by a time limit before the deadline, while the other host had them")
 	defForgotten            = counters.Define("dispatch_upstreams_forgotten", "upstreams that a request had been sent to and that no longer count for its attempts, as it did not reach the process")
-	defPrefillWasted        = counters.Define("dispatch_prefill_wasted", "prefilled prompts that were discarded unused")
+	defPrefillWasted        = counters.Define("dispatch_prefill_wasted", "prompts that were prefilled for nothing, or may have been, for any of the following causes")
+	defWastedCallerGone     = counters.Define("dispatch_prefill_wasted_caller_gone", "those whose caller disconnected, whose deadline passed or whose host ended before they were used")
+	defWastedExpired        = counters.Define("dispatch_prefill_wasted_expired", "those that the prefill engine no longer kept when they could have been used")
+	defWastedSlotLost       = counters.Define("dispatch_prefill_wasted_slot_lost", "those whose slot on a decode engine expired or was given back")
+	defWastedEngineGone     = counters.Define("dispatch_prefill_wasted_engine_gone", "those whose prefill or decode engine was lost, left or was replaced")
+	defWastedRejected       = counters.Define("dispatch_prefill_wasted_rejected", "those that the decode engine rejected although it had granted a slot")
+	defWastedAnswerLost     = counters.Define("dispatch_prefill_wasted_answer_lost", "those that an engine may have read or used, as its response was lost")
+	defWastedQuarantined    = counters.Define("dispatch_prefill_wasted_quarantined", "those whose request was quarantined before they were used")
+	defHeldPrefillTokens    = counters.Define("dispatch_held_prefill_tokens", "prompt tokens that the chosen prefill engines were expected to hold")
+	defHeldDecodeTokens     = counters.Define("dispatch_held_decode_tokens", "prompt tokens that the chosen decode engines were expected to hold")
+	defHeldChoices          = counters.Define("dispatch_held_choices", "engines that were chosen for the prompt tokens that they were expected to hold, instead of another one")
 )
 
+// defWastedFor holds the definitions of the counters by cause.
+var defWastedFor = [wasteCauses]counters.Def{
+	wasteCallerGone: defWastedCallerGone, wasteExpired: defWastedExpired, wasteSlotLost: defWastedSlotLost, wasteEngineGone: defWastedEngineGone,
+	wasteRejected: defWastedRejected, wasteAnswerLost: defWastedAnswerLost, wasteQuarantined: defWastedQuarantined,
+}
+
 type metrics struct {
 	refused, answered, retried, streamsBroken, disconnected,
 	reservations, reservationsRejected, prefillsWasted, prefillBusy,
 	connectionsLost, crashes, crashesAbandoned, crashesUnknown, isolated, rateLimited,
 	streamsTakenUp, streamsResumed, streamsMalformed, streamsOtherVersion, versionsGone,
-	notReached, silent, passedOn, hopsFailed, hopsGivenUp, forgotten *expvar.Int
+	notReached, silent, passedOn, hopsFailed, hopsGivenUp, forgotten,
+	heldPrefillTokens, heldDecodeTokens, heldChoices *expvar.Int
+	wastedFor               [wasteCauses]*expvar.Int
 	slotWait, prefill, call *counters.Histogram
 }
 
 func newMetrics(set *counters.Set) metrics {
-	return metrics{
+	m := metrics{
 		refused: set.Int(defRefused), answered: set.Int(defAnswered), retried: set.Int(defRetried),
 		streamsBroken: set.Int(defStreamsBroken), disconnected: set.Int(defDisconnected),
 		reservations: set.Int(defReservations), reservationsRejected: set.Int(defReservationsRejected), prefillsWasted: set.Int(defPrefillWasted),
@@ -57,6 +75,11 @@
 		streamsTakenUp: set.Int(defStreamsTakenUp), streamsResumed: set.Int(defStreamsResumed), streamsMalformed: set.Int(defStreamsMalformed), streamsOtherVersion: set.Int(defStreamsOtherVersion),
 		versionsGone: set.Int(defVersionsGone), notReached: set.Int(defNotReached), silent: set.Int(defSilent),
 		passedOn: set.Int(defPassedOn), hopsFailed: set.Int(defHopsFailed), hopsGivenUp: set.Int(defHopsGivenUp), forgotten: set.Int(defForgotten),
+		heldPrefillTokens: set.Int(defHeldPrefillTokens), heldDecodeTokens: set.Int(defHeldDecodeTokens), heldChoices: set.Int(defHeldChoices),
 		slotWait: set.Histogram(defWait), prefill: set.Histogram(defPrefill), call: set.Histogram(defCall),
 	}
+	for cause, def := range defWastedFor {
+		m.wastedFor[cause] = set.Int(def)
+	}
+	return m
 }
--- a/dispatch/crashes.go
+++ b/dispatch/crashes.go
@@ -40,6 +40,9 @@
 	if call.Effect == traffic.EffectUnknown && !call.ConnectionLost {
 		t.abandon(f, time.Now())
 	}
+	if call.ConnectionLost || call.Misdirected {
+		g.prompts.Forget(up)
+	}
 	if call.ConnectionLost {
 		g.metrics.connectionsLost.Add(1)
 	} else if call.Effect != traffic.EffectNotSent || !connloss.Refused(call) || !t.hasAbandoned(time.Now()) {
--- a/dispatch/fakes_test.go
+++ b/dispatch/fakes_test.go
@@ -42,6 +42,9 @@
 	reserve     func(up *traffic.Upstream, tokens int) error
 	reserveIdle func(up *traffic.Upstream, tokens int) error
 	prefill     func(up *traffic.Upstream) error
+	// prefillRequest and streamRequest replace prefill and stream unless they are nil.
+	prefillRequest func(up *traffic.Upstream, req *traffic.Request) error
+	streamRequest  func(up *traffic.Upstream, req *traffic.Request, opts traffic.SendOptions) (traffic.Stream, error)
 	// reservationReleased is called with the tokens of each reservation that is
 	// released on a decode engine. It may be nil.
 	reservationReleased func(tokens int)
@@ -115,16 +118,23 @@
 	return &traffic.Reservation{Engine: up, ID: "r", Tokens: tokens}, nil
 }
 
-func (w *fakeUpstreams) Prefill(_ context.Context, up *traffic.Upstream, _ *traffic.Request, _ traffic.SendOptions) (*traffic.Prompt, error) {
+func (w *fakeUpstreams) Prefill(_ context.Context, up *traffic.Upstream, req *traffic.Request, _ traffic.SendOptions) (*traffic.Prompt, error) {
 	w.record("prefill %s", up.ID)
-	if err := w.prefill(up); err != nil {
+	run := w.prefill
+	if w.prefillRequest != nil {
+		run = func(up *traffic.Upstream) error { return w.prefillRequest(up, req) }
+	}
+	if err := run(up); err != nil {
 		return nil, err
 	}
 	return &traffic.Prompt{Engine: up, Handle: "h"}, nil
 }
 
-func (w *fakeUpstreams) Stream(_ context.Context, up *traffic.Upstream, _ *traffic.Request, opts traffic.SendOptions) (traffic.Stream, error) {
+func (w *fakeUpstreams) Stream(_ context.Context, up *traffic.Upstream, req *traffic.Request, opts traffic.SendOptions) (traffic.Stream, error) {
 	w.record("stream %s after %q", up.ID, opts.LastEventID)
+	if w.streamRequest != nil {
+		return w.streamRequest(up, req, opts)
+	}
 	return w.stream(up, opts)
 }
 
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -12,6 +12,7 @@
 	"greengagespoke/domain"
 	"greengagespoke/internal/shard"
 	"greengagespoke/origins"
+	"greengagespoke/promptcache"
 	"greengagespoke/quarantine"
 	"greengagespoke/ratelimit"
 	"greengagespoke/reach"
@@ -64,6 +65,7 @@
 	stats           statsMap
 	slots           *slotReserver
 	prefillSelector *prefillSelector
+	prompts         heldPrompts
 	isolator        isolator
 	pace            *pace
 	// mixedVersions holds until when a service counts as one of several software versions.
@@ -78,6 +80,7 @@
 func NewGate(cfg Config) *Gate {
 	g := &Gate{cfg: cfg, stats: newStatsMap(), metrics: newMetrics(cfg.Counters), prefillSelector: newPrefillSelector(), isolator: newIsolator(), pace: newPace(), mixedVersions: shard.NewMap[traffic.ServiceName, time.Time]()}
 	g.slots = newSlotReserver(g)
+	g.prompts = promptcache.New()
 	g.hostEnds, g.endAll = context.WithCancel(context.Background())
 	return g
 }
@@ -112,6 +115,8 @@
 	replaced map[traffic.Incarnation]bool
 	// breaks counts the streams that broke at a process.
 	breaks map[traffic.Incarnation]int
+	// held is what was expected of the engines that were chosen last.
+	held heldPrompt
 	// eventsSent is the number of events that the caller got, lastEventAt when it got the last one.
 	eventsSent  int
 	lastEventAt time.Time
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -37,14 +37,17 @@
 	reservedAt time.Time
 	// lastEngine is the engine that streamed last. It keeps the prompt for a while.
 	lastEngine *traffic.Upstream
-	// unusedPrompt is a prompt that was prefilled at prefilledAt and not used yet.
+	// unusedPrompt is a prompt that was prefilled at prefilledAt and not used yet, unusedFor why.
 	unusedPrompt *traffic.Prompt
+	unusedFor    wasteCause
 	prefilledAt  time.Time
 	// prefillCalls and streamCalls count the calls to prefill the prompt and those
 	// to start the stream, without calls that were not sent.
 	prefillCalls, streamCalls int
 	// prefilled says that a prefill call succeeded.
 	prefilled bool
+	// fetched says that the decode engine of the last stream got a prefilled prompt.
+	fetched bool
 	// prefillLost says that a prefill engine closed the connection. If it crashed, a
 	// complete stream does not clear the request: it was prefilled elsewhere.
 	prefillLost bool
@@ -56,7 +59,7 @@
 	if f.prompted {
 		n.prefillCalls = 1
 	}
-	defer func() { g.discardPrompt(n.unusedPrompt) }()
+	defer func() { g.discardUnused(ctx, n) }()
 	for {
 		refusal := g.attempt(ctx, n)
 		if refusal == nil {
@@ -128,6 +131,7 @@
 	if n.streamCalls > 0 && !g.takeRetry(n, n.streamCalls) {
 		return overBudgetRefusal(n)
 	}
+	n.held = heldPrompt{}
 	reservation, refusal := g.reserveSlot(ctx, n)
 	if refusal != nil {
 		return refusal.WithRan(n.ran())
@@ -149,12 +153,12 @@
 	prompt := g.prefillFor(ctx, n, reservation)
 	if ctx.Err() != nil {
 		g.returnReservation(reservation)
-		g.discardPrompt(prompt)
+		g.discardPrompt(prompt, wasteCallerGone)
 		return g.endedRefusal(ctx, n)
 	}
 	if refusal := g.quarantined(n.inFlight); refusal != nil {
 		g.returnReservation(reservation)
-		g.discardPrompt(prompt)
+		g.discardPrompt(prompt, wasteQuarantined)
 		return refusal.WithRan(n.ran())
 	}
 	// The first prefill call is free only if an engine prefilled the prompt.
@@ -164,7 +168,7 @@
 	}
 	if refusal := announced(); refusal != nil {
 		g.returnReservation(reservation)
-		n.unusedPrompt = prompt
+		n.unusedPrompt, n.unusedFor = prompt, wasteSlotLost
 		return refusal.WithRan(n.ran())
 	}
 	prefillEnd := time.Now()
@@ -176,11 +180,13 @@
 	n.mayHaveRun, n.lastEngine = true, reservation.Engine
 	t.streamStarted()
 	defer stream.Close()
+	n.fetched = prompt != nil
+	g.recordHeldStream(n, reservation.Engine)
 	g.countResumption(n, reservation.Engine)
 	klog.InfoS("stream started", "request", n.req.ID, "decode", reservation.Engine.ID, "prefill", prefillEngineID(prompt),
 		"process", reservation.Engine.Incarnation().String(), "software", reservation.Engine.Version, "resumes", n.req.Resumes, "after", n.lastEventID,
 		"waited", n.reservedAt.Sub(n.req.Arrived).Round(time.Millisecond), "read", prefillEnd.Sub(n.reservedAt).Round(time.Millisecond),
-		"reserved", reservation.Tokens, "version", n.configVersion)
+		"reserved", reservation.Tokens, "held_prefill", n.held.prefill.Held, "held_decode", n.held.decode.Held, "version", n.configVersion)
 	result, refusal = g.streamEnded(ctx, n, reservation, g.relayEvents(ctx, n, stream))
 	return refusal
 }
@@ -196,9 +202,11 @@
 	}
 	switch {
 	case call.NotDelivered(), call.Rests:
-		n.unusedPrompt = prompt
+		n.unusedPrompt, n.unusedFor = prompt, notStartedCause(call)
 	case call.Effect == traffic.EffectRejected:
-		g.discardPrompt(prompt)
+		g.discardPrompt(prompt, n.rejectedCause(reservation, time.Now()))
+	case prompt != nil:
+		g.countWaste(ctx, wasteAnswerLost)
 	}
 	if call.Misdirected {
 		n.replaced[reservation.Engine.Incarnation()] = true
@@ -324,16 +332,6 @@
 	g.discardReservation(reservation)
 }
 
-// discardPrompt releases an unused prompt. It does nothing if prompt is nil.
-func (g *Gate) discardPrompt(prompt *traffic.Prompt) {
-	if prompt != nil {
-		g.metrics.prefillsWasted.Add(1)
-		if !g.cfg.RateLimits.Resting(prompt.Engine) {
-			g.cfg.Upstreams.ReleasePrompt(prompt)
-		}
-	}
-}
-
 func prefillEngineID(p *traffic.Prompt) domain.UpstreamID {
 	if p == nil {
 		return ""
@@ -430,7 +428,7 @@
 // relayEvents passes the events on to the caller until the stream ends. It returns
 // nil if the stream is complete.
 func (g *Gate) relayEvents(ctx context.Context, n *generation, stream traffic.Stream) error {
-	events := sequence{last: n.lastEventID}
+	events, first := sequence{last: n.lastEventID}, true
 	for {
 		wait := time.Until(n.answerDeadline)
 		if n.route.Resumable {
@@ -452,6 +450,10 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if first {
+			g.firstEventArrived(n)
+			first = false
+		}
 		if !n.headSent {
 			n.sendHead(stream)
 		}
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/promptcache"
 	"greengagespoke/traffic"
 )
 
@@ -43,6 +44,8 @@
 	health health
 	// connected says that an idle connection to the upstream exists.
 	connected bool
+	// weight is what the engine holds of the prompt.
+	weight promptcache.Weight
 }
 
 // candidates returns the healthy upstreams of a service for which eligible returns
@@ -95,32 +98,38 @@
 	return newConnectionCost
 }
 
-// pickCheapest returns the candidate with the least cost, or nil if there is none.
-func pickCheapest(from []candidate, zone domain.Zone) *traffic.Upstream {
-	var best *traffic.Upstream
-	var leastCost time.Duration
-	for _, c := range from {
-		if cost := c.cost(zone); best == nil || cost < leastCost {
-			best, leastCost = c.up, cost
-		}
+// pickCheapest returns the index of the candidate with the least cost, or of another one that gains
+// enough by what it holds, and whether it is another one. There must be a candidate.
+func pickCheapest(from []candidate, zone domain.Zone) (chosen int, changed bool) {
+	options := make([]promptcache.Option, len(from))
+	for i, c := range from {
+		cost := c.cost(zone)
+		options[i] = promptcache.Option{Cost: cost, Wait: cost, Gain: c.weight.Gain, MaxWait: c.weight.MaxWait, Worth: c.weight.Worth}
 	}
-	return best
+	return promptcache.Choose(options)
 }
 
 // takeCheapest returns the cheapest candidate that its rate limit allows to be sent a
 // request. limited reports that only rate limits keep the request from the candidates.
 // Only if there is no other one, the request waits for the grant of a limited candidate.
 func (g *Gate) takeCheapest(ctx context.Context, from []candidate) (up *traffic.Upstream, limited bool) {
+	up, _, limited = g.takeBest(ctx, from)
+	return up, limited
+}
+
+// takeBest does the same, and says what was expected to be held there.
+func (g *Gate) takeBest(ctx context.Context, from []candidate) (up *traffic.Upstream, held heldChoice, limited bool) {
 	remaining := slices.Clone(from)
 	var notReady []*traffic.Upstream
 	for len(remaining) > 0 && up == nil {
-		next := pickCheapest(remaining, g.cfg.Zone)
-		remaining = slices.DeleteFunc(remaining, func(c candidate) bool { return c.up == next })
+		at, changed := pickCheapest(remaining, g.cfg.Zone)
+		next := remaining[at].up
 		if g.cfg.RateLimits.TakeReady(next) {
-			up = next
+			up, held = next, heldChoice{Weight: remaining[at].weight, changed: changed}
 		} else {
 			notReady = append(notReady, next)
 		}
+		remaining = slices.Delete(remaining, at, at+1)
 	}
 	giveUp := time.Now().Add(maxGrantWait)
 	for _, next := range notReady {
@@ -131,7 +140,7 @@
 			up = next
 		}
 	}
-	return up, up == nil && len(from) > 0
+	return up, held, up == nil && len(from) > 0
 }
 
 // rateLimitedRefusal is the refusal of a request if all upstreams that it may be sent to are at
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -328,13 +328,14 @@
 		}
 		return true
 	})
+	g.weighHeld(f, remaining, now)
 	ttl := min(reservationTTL, f.engine.ReservationTTL)
 	failure := tryUnreached
 	if full || len(remaining) == 0 {
 		failure = tryFull
 	}
 	for range min(maxEnginesPerTry, len(remaining)) {
-		up, limited := g.takeCheapest(ctx, remaining)
+		up, held, limited := g.takeBest(ctx, remaining)
 		if up == nil && limited && !full {
 			return nil, tryLimited
 		}
@@ -354,6 +355,7 @@
 			r, err = g.reserve(ctx, f, up, needed, ttl)
 		}
 		if err == nil {
+			f.held.decode = held
 			return r, tryFull
 		}
 		if call := asCallError(err); call.Effect != traffic.EffectNotSent || call.Misdirected {
--- a/dispatch/prefill.go
+++ b/dispatch/prefill.go
@@ -32,7 +32,7 @@
 		if time.Since(n.prefilledAt) < time.Duration(promptReuseShare*float64(n.engine.PromptTTL)) {
 			return unused
 		}
-		g.discardPrompt(unused)
+		g.discardPrompt(unused, wasteExpired)
 	}
 	prompt := g.runPrefill(ctx, n, reservation)
 	n.prefilledAt = time.Now()
@@ -57,7 +57,8 @@
 			klog.InfoS("prompt left to the decode engine", "request", n.req.ID, "reason", "no prefill engine is healthy")
 			return nil
 		}
-		up, delay := g.choosePrefillEngine(ctx, n, engines, reservation.Engine.Zone)
+		choice := g.choosePrefillEngine(ctx, n, engines, reservation.Engine.Zone)
+		up, delay := choice.up, choice.delay
 		if up == nil {
 			return nil
 		}
@@ -73,7 +74,7 @@
 		}
 		n.prefillCalls++
 		n.prompted = true
-		prompt, err := g.prefill(ctx, n, up)
+		prompt, err := g.prefill(ctx, n, choice)
 		if err == nil {
 			n.prefilled = true
 			return prompt
@@ -83,6 +84,9 @@
 			"effect", call.Effect, "lost", call.ConnectionLost, "err", err)
 		g.observeFailure(ctx, n.inFlight, up, call)
 		n.prefillLost = n.prefillLost || call.ConnectionLost
+		if call.Effect == traffic.EffectUnknown {
+			g.countWaste(ctx, prefillLostCause(call))
+		}
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -95,7 +99,8 @@
 }
 
 // prefill has one engine prefill the prompt.
-func (g *Gate) prefill(ctx context.Context, n *generation, up *traffic.Upstream) (*traffic.Prompt, error) {
+func (g *Gate) prefill(ctx context.Context, n *generation, choice prefillChoice) (*traffic.Prompt, error) {
+	up := choice.up
 	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
 	defer cancel()
 	t := g.stats.forUpstream(up)
@@ -103,14 +108,21 @@
 	began := time.Now()
 	n.sentAt = began
 	g.cfg.RateLimits.Sent(up)
+	// The prompt counts as held from now on. Otherwise the requests of a burst would each have it
+	// read by another engine until the first one has read it.
+	g.prompts.Record(up, n.engine.MemoryTokens, n.req.PromptParts, began)
 	prompt, err := g.cfg.Upstreams.Prefill(ctx, up, n.req, n.sendOptions(nil, nil))
 	g.observeReach(ctx, n.service, err)
 	elapsed := time.Since(began)
 	g.metrics.prefill.Record(elapsed)
-	t.callEnded(g.outcomeOf(ctx, &traffic.Answer{}, err), elapsed, time.Now())
+	t.callEnded(g.outcomeOf(ctx, &traffic.Answer{}, err), choice.held.wholeCall(elapsed), time.Now())
 	if err == nil {
-		g.prefillSelector.recordPrefill(n.service, n.req.PromptTokens, elapsed)
-		g.cfg.Loads.RecordPrefill(n.service, n.req.PromptTokens, elapsed)
+		processed := choice.held.processed(n.req.PromptTokens)
+		g.prefillSelector.recordPrefill(n.service, processed, elapsed)
+		g.cfg.Loads.RecordPrefill(n.service, processed, elapsed)
+		g.recordHeldPrefill(n, choice, elapsed)
+	} else {
+		g.prompts.Forget(up)
 	}
 	return prompt, err
 }
--- a/dispatch/readers.go
+++ b/dispatch/readers.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"greengagespoke/domain"
+	"greengagespoke/promptcache"
 	"greengagespoke/traffic"
 )
 
@@ -70,21 +71,46 @@
 	return time.Duration(decodePrefillFactor * float64(tokens) / rate * float64(time.Second))
 }
 
-// pick returns the prefill engine with the least cost, and its expected delay.
-func (r *prefillSelector) pick(engines []candidate, zone domain.Zone) (*traffic.Upstream, time.Duration) {
-	var best *traffic.Upstream
-	var leastCost, delay time.Duration
-	for _, c := range engines {
-		expected := c.health.meanLatency * time.Duration(1+c.health.activeCalls)
-		cost := expected + time.Duration(c.health.failureRate*float64(failureCost)) + rand.N(maxTieBreakCost) + c.connectionCost()
+// pick returns the index of the prefill engine with the least cost, or of another one that gains
+// enough by what it holds, whether it is another one, and its expected delay. There must be an engine.
+func (r *prefillSelector) pick(engines []candidate, zone domain.Zone) (chosen int, changed bool, delay time.Duration) {
+	options := make([]promptcache.Option, len(engines))
+	for i, c := range engines {
+		penalty := time.Duration(c.health.failureRate*float64(failureCost)) + rand.N(maxTieBreakCost) + c.connectionCost()
 		if c.up.Zone != zone {
-			cost += crossZoneCost
-		}
-		if best == nil || cost < leastCost {
-			best, leastCost, delay = c.up, cost, expected
+			penalty += crossZoneCost
 		}
+		options[i] = promptcache.Option{Cost: c.expectedPrefill() + penalty, Wait: c.prefillWait() + penalty, Gain: c.weight.Gain, MaxWait: c.weight.MaxWait, Worth: c.weight.Worth}
 	}
-	return best, delay
+	chosen, changed = promptcache.Choose(options)
+	return chosen, changed, engines[chosen].expectedPrefill()
+}
+
+// expectedPrefill returns the expected delay of a prompt at the engine.
+func (c candidate) expectedPrefill() time.Duration {
+	return c.health.meanLatency * time.Duration(1+c.health.activeCalls)
+}
+
+// prefillWait returns the part of the expected delay that held tokens are weighed against: the
+// prompts of this host before it, and the time by which the engine is slower than others. The mean
+// latency alone would count against engines that were used lately, as it fades.
+func (c candidate) prefillWait() time.Duration {
+	wait := max(0, c.health.meanLatency-2*c.weight.Call)
+	switch {
+	case c.health.activeCalls == 0:
+		return wait
+	case c.weight.Busy > 0:
+		return wait + c.weight.Busy
+	default:
+		return wait + c.weight.Queued*time.Duration(c.health.activeCalls) // Prompts of other hosts were before them.
+	}
+}
+
+// prefillChoice is the engine that prefills a prompt. up is nil if there is none.
+type prefillChoice struct {
+	up    *traffic.Upstream
+	delay time.Duration
+	held  heldChoice
 }
 
 // choosePrefillEngine returns the prefill engine that is expected to finish the
@@ -92,38 +118,44 @@
 // so it probes the engines: only an idle one accepts a reservation of nearly all
 // its memory. If no probed engine is idle, it returns the first choice. An engine with a
 // rate limit is not probed, and is chosen if a grant is ready; the grant must be given back
-// if it is not used. It returns nil if ctx ends, or if all engines are at their limits.
-func (g *Gate) choosePrefillEngine(ctx context.Context, n *generation, engines []candidate, zone domain.Zone) (*traffic.Upstream, time.Duration) {
-	var best *traffic.Upstream
-	var delay time.Duration
+// if it is not used. It returns none if ctx ends, or if all engines are at their limits.
+func (g *Gate) choosePrefillEngine(ctx context.Context, n *generation, engines []candidate, zone domain.Zone) prefillChoice {
+	g.weighHeld(n.inFlight, engines, time.Now())
+	var best prefillChoice
 	remaining := slices.Clone(engines)
 	for range min(maxIdleProbes, len(engines)) {
-		up, expected := g.prefillSelector.pick(remaining, zone)
-		remaining = slices.DeleteFunc(remaining, func(c candidate) bool { return c.up == up })
-		if g.cfg.RateLimits.Limited(up) {
-			if g.cfg.RateLimits.TakeReady(up) {
-				return up, expected
+		at, changed, delay := g.prefillSelector.pick(remaining, zone)
+		next := prefillChoice{up: remaining[at].up, delay: delay, held: heldChoice{Weight: remaining[at].weight, changed: changed}}
+		remaining = slices.Delete(remaining, at, at+1)
+		if g.cfg.RateLimits.Limited(next.up) {
+			if g.cfg.RateLimits.TakeReady(next.up) {
+				return next
 			}
-			g.cfg.RateLimits.Prefetch(up)
+			g.cfg.RateLimits.Prefetch(next.up)
 			continue
 		}
-		if best == nil {
-			best, delay = up, expected
+		if best.up == nil {
+			best = next
 		}
-		if g.isIdle(ctx, n, up) {
-			return up, expected
+		if g.isIdle(ctx, n, next) {
+			return next
 		}
 		if ctx.Err() != nil {
-			return nil, 0
+			return prefillChoice{}
 		}
 	}
-	return best, delay
+	return best
 }
 
 // isIdle reports whether a prefill engine accepts a reservation of nearly all its
-// memory, and releases that reservation at once.
-func (g *Gate) isIdle(ctx context.Context, n *generation, up *traffic.Upstream) bool {
+// memory, and releases that reservation at once. What the engine holds of the prompt, and is worth
+// a choice, is left out: the engine might evict it for the reservation.
+func (g *Gate) isIdle(ctx context.Context, n *generation, choice prefillChoice) bool {
+	up := choice.up
 	tokens := n.engine.MemoryTokens - maxIdleTokens
+	if choice.held.matters() {
+		tokens = max(1, tokens-choice.held.Held-choice.held.Spare)
+	}
 	if tokens <= 0 {
 		return true
 	}
