--- a/dispatch/prefill.go
+++ b/dispatch/prefill.go
@@ -121,8 +121,8 @@
 		g.prefillSelector.recordPrefill(n.service, processed, elapsed)
 		g.cfg.Loads.RecordPrefill(n.service, processed, elapsed)
 		g.recordHeldPrefill(n, choice, elapsed)
-	} else {
-		g.prompts.Forget(up)
+	} else if call := asCallError(err); call.Effect != traffic.EffectUnknown {
+		g.prompts.Forget(up) // The engine has not read the prompt.
 	}
 	return prompt, err
 }
