promptcache: wait for other hosts' prompts only as long as the prompt itself gains

Cause: where sessions come back at other hosts, the probe of an engine that was believed to hold the prompt let up to 400 ms of other prompts pass: 95th percentile 454 ms, 402 ms without. Change: the probe leaves out the tokens that take the prompt's own gain, and what is evicted counts with the discounted belief. Waits for this host's own prompts are bounded by 200 ms.

--- a/promptcache/choose.go
+++ b/promptcache/choose.go
@@ -14,9 +14,9 @@
 
 const (
 	// maxExtraWait is the longest wait for what an engine holds, beyond that at the cheapest engine. It is
-	// half of the strictest target latency of a stream. A popular beginning is read by another
+	// a quarter of the strictest target latency of a stream. A popular beginning is read by another
 	// engine then.
-	maxExtraWait = 400 * time.Millisecond
+	maxExtraWait = 200 * time.Millisecond
 	// maxExtraDecodeWait is the same at decode engines, where calls do not wait but slow each other
 	// down: about four more of them.
 	maxExtraDecodeWait = 60 * time.Millisecond
@@ -52,8 +52,8 @@
 	// duration of one prompt of which nothing is known.
 	Busy   time.Duration
 	Queued time.Duration
-	// Spare is the number of tokens of prompts before it, of which part is held, for which the
-	// gain is worth the wait.
+	// Spare is the number of tokens of other hosts' prompts before it that take as long as the prompt
+	// itself is expected to gain, if as much of them is held as usual.
 	Spare int
 }
 
@@ -86,13 +86,14 @@
 		}
 		w.Worth = seconds(perToken*float64(w.Held)) >= minGain
 		worth = worth || w.Worth
-		evicts := c.evicted(up, memoryTokens, promptTokens-w.Held, keys, reused)
-		w.Gain = seconds(perToken * (learned.reliability(w.Age, now)*float64(w.Held) + evictedWeight*(reused*float64(promptTokens)-evicts)))
+		saved := learned.reliability(w.Age, now) * float64(w.Held)
+		evicts := c.evicted(up, memoryTokens, promptTokens-int(saved), keys, reused)
+		w.Gain = seconds(perToken * (saved + evictedWeight*(reused*float64(promptTokens)-evicts)))
 		if e := c.engines[up.ID]; e != nil && e.is(up) {
 			w.Busy = max(0, e.busyUntil.Sub(now))
 		}
-		if over := w.Gain - minGain; w.Worth && over > 0 {
-			w.Spare = int(min(over, w.MaxWait).Seconds() / queued)
+		if own := seconds(perToken*saved) - minGain; w.Worth && own > 0 && w.Gain > minGain {
+			w.Spare = int(min(own, w.Gain-minGain).Seconds() / queued)
 		}
 		weights[i] = w
 	}
--- a/promptcache/promptcache_test.go
+++ b/promptcache/promptcache_test.go
@@ -142,7 +142,7 @@
 		"least cost":          {[]Option{{Cost: 9 * ms}, {Cost: 5 * ms}}, 1},
 		"holds it, idle":      {[]Option{{Cost: 5 * ms}, {Cost: 90 * ms, Wait: 90 * ms, Gain: 160 * ms, Worth: true}}, 1},
 		"holds it, waits":     {[]Option{{Cost: 5 * ms}, {Cost: 90 * ms, Wait: 140 * ms, Gain: 160 * ms, Worth: true}}, 0},
-		"waits too long":      {[]Option{{Cost: 5 * ms}, {Cost: 6 * ms, Wait: 401 * ms, Gain: 9000 * ms, Worth: true}}, 0},
+		"waits too long":      {[]Option{{Cost: 5 * ms}, {Cost: 6 * ms, Wait: 201 * ms, Gain: 9000 * ms, Worth: true}}, 0},
 		"below the threshold": {[]Option{{Cost: 5 * ms}, {Cost: 9 * ms, Wait: 4 * ms, Gain: 24 * ms, Worth: true}}, 0},
 		"not worth it":        {[]Option{{Cost: 5 * ms, Gain: -time.Second}, {Cost: 9 * ms}}, 0},
 		"two hold it":         {[]Option{{Cost: 5 * ms}, {Wait: 90 * ms, Gain: 160 * ms, Worth: true, Cost: 6 * ms}, {Wait: 20 * ms, Gain: 160 * ms, Worth: true, Cost: 6 * ms}}, 2},
