dispatch: decode engines get streams by their speed

Cause: decode engines were chosen by this host's active calls, zone and connection. A host has few streams at each engine, so engines of speed 0.7 and 1.7 got equal shares. Change: the mean time of an engine's streams for each event is learned for each process. If engines differ more than chance explains, the random tie-break follows their speed.

--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -70,7 +70,9 @@
 	pace            *pace
 	// mixedVersions holds until when a service counts as one of several software versions.
 	mixedVersions *shard.Map[traffic.ServiceName, time.Time]
-	metrics       metrics
+	// spreads holds how much the streams of one engine differ, of each service.
+	spreads *shard.Map[traffic.ServiceName, *spread]
+	metrics metrics
 	// hostEnds is done once the host ends, so that all requests in flight end.
 	hostEnds context.Context
 	endAll   context.CancelFunc
@@ -81,6 +83,7 @@
 	g := &Gate{cfg: cfg, stats: newStatsMap(), metrics: newMetrics(cfg.Counters), prefillSelector: newPrefillSelector(), isolator: newIsolator(), pace: newPace(), mixedVersions: shard.NewMap[traffic.ServiceName, time.Time]()}
 	g.slots = newSlotReserver(g)
 	g.prompts = promptcache.New()
+	g.spreads = shard.NewMap[traffic.ServiceName, *spread]()
 	g.hostEnds, g.endAll = context.WithCancel(context.Background())
 	return g
 }
--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -429,6 +429,8 @@
 // nil if the stream is complete.
 func (g *Gate) relayEvents(ctx context.Context, n *generation, stream traffic.Stream) error {
 	events, first := sequence{last: n.lastEventID}, true
+	var pace streamPace
+	defer func() { g.recordSpeed(n, &pace, n.sentAt) }()
 	for {
 		wait := time.Until(n.answerDeadline)
 		if n.route.Resumable {
@@ -450,6 +452,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		pace.arrived(time.Now())
 		if first {
 			g.firstEventArrived(n)
 			first = false
@@ -462,6 +465,7 @@
 			g.metrics.disconnected.Add(1)
 			return errCallerDisconnected
 		}
+		pace.delivered(time.Now())
 		if event.ID != "" {
 			n.eventSent()
 			n.lastEventID = event.ID
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -46,6 +46,9 @@
 	connected bool
 	// weight is what the engine holds of the prompt.
 	weight promptcache.Weight
+	// eventTime is the time of its streams for each event relative to other engines, 0 if they do
+	// not differ.
+	eventTime float64
 }
 
 // candidates returns the healthy upstreams of a service for which eligible returns
@@ -87,7 +90,7 @@
 	if c.up.Zone != zone {
 		cost += crossZoneCost
 	}
-	return cost + c.connectionCost() + rand.N(maxTieBreakCost)
+	return cost + c.connectionCost() + c.tieBreak()
 }
 
 // connectionCost is the cost of opening a connection to the candidate, if needed.
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -329,6 +329,7 @@
 		return true
 	})
 	g.weighHeld(f, remaining, now)
+	g.weighSpeed(f.service, remaining)
 	ttl := min(reservationTTL, f.engine.ReservationTTL)
 	failure := tryUnreached
 	if full || len(remaining) == 0 {
--- a/dispatch/track.go
+++ b/dispatch/track.go
@@ -77,6 +77,9 @@
 	rejections int
 	// abandoned holds the requests that were given up lately while the upstream had them.
 	abandoned []abandonedCall
+	// eventTime is the time of the streams of a decode engine, from their calls on, for each event.
+	// It is in seconds.
+	eventTime average
 	// mustProbe means that it stays so until a connection to it could be opened, which probing
 	// says is being tried.
 	mustProbe, probing bool
@@ -208,11 +211,12 @@
 	meanLatency time.Duration
 	failureRate float64
 	unhealthy   bool
+	eventTime   average
 }
 
 func (t *upstreamStats) health(now time.Time) health {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.decay(now)
-	return health{activeCalls: t.activeCalls, meanLatency: t.meanLatency, failureRate: t.failureRate, unhealthy: t.mustProbe || now.Before(t.unhealthyUntil)}
+	return health{activeCalls: t.activeCalls, meanLatency: t.meanLatency, failureRate: t.failureRate, unhealthy: t.mustProbe || now.Before(t.unhealthyUntil), eventTime: t.eventTime}
 }
