--- a/soak/callers.go
+++ b/soak/callers.go
@@ -51,8 +51,12 @@
 }
 
 // rateLimitFinding ends a finding of a request that was refused for rate limits, though workers
-// without one take requests.
-const rateLimitFinding = "for rate limits though other workers have none"
+// without one take requests, crashFinding one of a request that was refused as crashing workers,
+// though it did not.
+const (
+	rateLimitFinding = "for rate limits though other workers have none"
+	crashFinding     = "as if it crashed workers"
+)
 
 // contentOf returns what a request says. Two streams in a row of a caller say the same.
 func contentOf(id string, k kind) string {
@@ -144,7 +148,7 @@
 	}
 	r.checkStatus(h, id, customer, resp.StatusCode, calm)
 	if calm && strings.Contains(body, string(domain.RefusalQuarantined)) {
-		r.ledger.find("request %s with the parts %s was refused by %s as if it crashed workers", id, t.parts, h.name)
+		r.ledger.find("request %s with the parts %s was refused by %s "+crashFinding, id, t.parts, h.name)
 	}
 	if calm && t.last == 0 && !r.broken.Load() && !r.cut.begun(h, sentAt) && strings.Contains(body, "rate limits") {
 		r.ledger.find("request %s (%s) was refused by %s "+rateLimitFinding, id, kindPaths[k], h.name)
