dispatch: cheaper order by customers, and no refusal of streams as hopeless

Cause: each look for the first request worked out the shares of all waiting customers. A stream that broke in the middle could have been refused at once as hopeless. Change: shares are worked out once in 25 ms; a stream of which the caller has events waits in any case.

--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -102,9 +102,11 @@
 	full    map[domain.UpstreamID]rejection
 	// shares tells which customers got more than their share of the places. typical is the mean
 	// memory of recent requests in tokens. placed counts the recent places.
-	shares  *urgency.Shares
-	typical float64
-	placed  urgency.Rate
+	shares *urgency.Shares
+	// excessAt is when the excess of the waiting requests was worked out.
+	excessAt time.Time
+	typical  float64
+	placed   urgency.Rate
 }
 
 // rejection records the size of a reservation that an engine rejected. It is ignored
@@ -242,6 +244,7 @@
 	defer q.mu.Unlock()
 	q.waiting = append(q.waiting, w)
 	q.observe(w.tokens)
+	w.excess = q.shares.Excess(w.customer, time.Now())
 }
 
 func (q *slotQueue) remove(w *waiter) {
@@ -263,8 +266,11 @@
 // heads returns the first request of each line.
 func (q *slotQueue) heads(now time.Time) map[line]*waiter {
 	first := make(map[line]*waiter, 1)
-	for _, w := range q.waiting {
-		w.excess = q.shares.Excess(w.customer, now)
+	if now.Sub(q.excessAt) >= pollInterval {
+		q.excessAt = now
+		for _, w := range q.waiting {
+			w.excess = q.shares.Excess(w.customer, now)
+		}
 	}
 	for _, w := range q.waiting {
 		if head, ok := first[w.line]; !ok || w.compare(head.turn, now) < 0 {
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -155,9 +155,10 @@
 }
 
 // hopelessRefusal is the refusal of a request that gets no slot before it gives up, as too many come
-// before it that wait for longer. It returns nil if the request may get one.
+// before it that wait for longer. It returns nil if the request may get one. A stream of which the
+// caller has events waits in any case.
 func (p *slotReserver) hopelessRefusal(f *inFlight, q *slotQueue, w *waiter) *domain.Refusal {
-	if !w.level.Matters() {
+	if !w.level.Matters() || f.eventsSent > 0 {
 		return nil
 	}
 	q.mu.Lock()
