dispatch, urgency: tests of later returns, and of requests that are not hopeless

Cause: four changes taken out left the tests green: the later time to return of two refusals, which requests count as ahead, and the ranks of public routes and of routes without a share. Change: TestUrgentRequestGetsTheFreePlace and TestLevelsOfAConfiguration have the cases. Result: each fails with its change taken out; go test -race -cpu 1 ./dispatch ./urgency passes.

--- a/dispatch/urgency_test.go
+++ b/dispatch/urgency_test.go
@@ -331,6 +331,7 @@
 		l := newHardLoad(1, 0, 1)
 		l.urgent, l.engines = true, 1
 		f := l.gates(t)[0]
+		const maxRetry = 2 * overloadRetryAfter // That of the last level.
 		var order []int
 		run := f.stream
 		f.stream = func(up *traffic.Upstream, opts traffic.SendOptions) (traffic.Stream, error) {
@@ -359,13 +360,24 @@
 		for range 240 {
 			send("news", 25*time.Millisecond)
 		}
-		req, caller := newRequest("/archive/x"), &fakeCaller{}
-		req.Deadline = req.Arrived.Add(time.Second)
-		f.gate.Serve(context.Background(), req, caller)
-		if r := caller.refusal; r == nil || r.Ran != domain.RanNo || time.Since(req.Arrived) > 0 || r.RetryAfter <= overloadRetryAfter {
-			t.Errorf("refusal %+v after %s, want one at once, with a later time to return", r, time.Since(req.Arrived))
+		serve := func(deadline time.Duration) (*domain.Refusal, time.Duration) {
+			req, caller := newRequest("/archive/x"), &fakeCaller{}
+			req.Deadline = req.Arrived.Add(deadline)
+			f.gate.Serve(context.Background(), req, caller)
+			return caller.refusal, time.Since(req.Arrived)
+		}
+		if r, took := serve(time.Second); r == nil || r.Ran != domain.RanNo || took > 0 || r.RetryAfter < maxRetry {
+			t.Errorf("refusal %+v after %s, want one at once, with a later time to return", r, took)
+		}
+		// Nearly all others give up before this one does.
+		if _, took := serve(3450 * time.Millisecond); took == 0 {
+			t.Errorf("a request that may get a place was refused at once")
 		}
 		all.Wait()
+		f.reserve = func(*traffic.Upstream, int) error { return errRejected }
+		if r, _ := serve(10 * time.Second); r == nil || r.RetryAfter < maxRetry {
+			t.Errorf("refusal %+v, want a later time to return", r)
+		}
 	})
 }
 
--- a/urgency/urgency_test.go
+++ b/urgency/urgency_test.go
@@ -23,6 +23,8 @@
 	none := traffic.Customer{Name: "without a priority"}
 	high, low := customer(1), customer(7)
 	routes := []traffic.Route{testRoute("s", 3), testRoute("s", 5), testRoute("other", 9)}
+	public, unused := testRoute("s", 3), testRoute("s", 5)
+	public.Public, unused.Shares[0].Weight = true, 0
 	for _, c := range []struct {
 		name     string
 		config   traffic.Config
@@ -38,6 +40,8 @@
 		{"the customer goes before the route", traffic.Config{Routes: routes, RequiresKeys: true, Customers: []traffic.Customer{high, low}}, &high, 1, Level{1, 4}},
 		{"a less urgent customer", traffic.Config{Routes: routes, RequiresKeys: true, Customers: []traffic.Customer{high, low}}, &low, 0, Level{2, 4}},
 		{"a customer without a priority among others", traffic.Config{Routes: routes[:1], RequiresKeys: true, Customers: []traffic.Customer{high, none, low}}, &none, 0, Level{1, 3}},
+		{"a public route", traffic.Config{Routes: []traffic.Route{public}, RequiresKeys: true, Customers: []traffic.Customer{high, low}}, nil, 0, Level{1, 3}},
+		{"a service that gets no share", traffic.Config{Routes: []traffic.Route{routes[0], unused}}, nil, 0, Level{0, 1}},
 		{"a rank of an older version", traffic.Config{Routes: routes[:1], RequiresKeys: true, Customers: []traffic.Customer{high, low}}, &traffic.Customer{Priority: 50, HasPriority: true}, 0, Level{1, 2}},
 	} {
 		got := NewLevels(&c.config).Of("s", c.customer, &c.config.Routes[c.route])
