--- a/dispatch/readers.go
+++ b/dispatch/readers.go
@@ -83,7 +83,11 @@
 		options[i] = promptcache.Option{Cost: c.expectedPrefill() + penalty, Wait: c.prefillWait() + penalty, Gain: c.weight.Gain, MaxWait: c.weight.MaxWait, Worth: c.weight.Worth}
 	}
 	chosen, changed = promptcache.Choose(options)
-	return chosen, changed, engines[chosen].expectedPrefill()
+	delay = engines[chosen].expectedPrefill()
+	if w := engines[chosen].weight; w.Worth && w.Busy > 0 {
+		delay = min(delay, w.Busy+w.Call) // The calls in progress hold parts of their prompts, too.
+	}
+	return chosen, changed, delay
 }
 
 // expectedPrefill returns the expected delay of a prompt at the engine.
--- a/promptcache/estimate.go
+++ b/promptcache/estimate.go
@@ -134,6 +134,9 @@
 
 // observe records the duration of a call with a prompt.
 func (e *estimate) observe(tokens int, w Weight, elapsed time.Duration, now time.Time) {
+	if tokens <= 0 {
+		return
+	}
 	if float64(w.Held) <= insignificantShare*float64(tokens) {
 		e.add(tokens, elapsed)
 		e.processed.add(1)
