promptcache: weigh gains only if one may change a choice

Cause: each choice summed up what all engines would evict, also where little of the prompt is shared. Change: gains are worked out only if an engine holds enough for the threshold.

--- a/promptcache/choose.go
+++ b/promptcache/choose.go
@@ -23,6 +23,8 @@
 	// evictedWeight is the cost of reading an evicted token again: it delays its own request, and
 	// takes time of the engine from others.
 	evictedWeight = 2
+	// minProcessed is the least share of waiting prompts that an engine is expected to process.
+	minProcessed = 0.05
 	// maxReadAgain bounds how often a token is expected to be read again after it is evicted.
 	maxReadAgain = 4
 )
@@ -71,21 +73,31 @@
 		return nil
 	}
 	learned := c.estimateOf(ups[0].Service, ups[0].Role)
-	fixed, perToken := learned.line()
+	_, perToken := learned.line()
 	weights := make([]Weight, len(ups))
-	reused := readAgain(float64(c.estimateOf(ups[0].Service, domain.RolePrefill).reused))
-	worth, maxWait := false, maxExtraWait
-	if ups[0].Role == domain.RoleDecode {
-		maxWait = maxExtraDecodeWait
+	worth := false
+	for i := range ups {
+		tokens := min(held[i].tokens, promptTokens)
+		weights[i] = Weight{Held: tokens, Age: held[i].age, Worth: seconds(perToken*float64(tokens)) >= minGain}
+		worth = worth || weights[i].Worth
+	}
+	if worth {
+		c.weighGains(weights, ups, learned, memoryTokens, promptTokens, keys, now)
 	}
-	queued := perToken * float64(learned.processed)
+	return weights
+}
+
+// weighGains sets what the engines gain and how long they take.
+func (c *Cache) weighGains(weights []Weight, ups []*traffic.Upstream, learned *estimate, memoryTokens, promptTokens int, keys []domain.PieceKey, now time.Time) {
+	fixed, perToken := learned.line()
+	reused := readAgain(float64(c.estimateOf(ups[0].Service, domain.RolePrefill).reused))
+	queued := perToken * max(minProcessed, float64(learned.processed))
 	for i, up := range ups {
-		w := Weight{
-			Held: min(held[i].tokens, promptTokens), Age: held[i].age, MaxWait: maxWait,
-			Call: seconds(fixed + perToken*float64(promptTokens)), Queued: seconds(fixed + queued*float64(promptTokens)),
+		w := &weights[i]
+		w.Call, w.Queued = seconds(fixed+perToken*float64(promptTokens)), seconds(fixed+queued*float64(promptTokens))
+		if w.MaxWait = maxExtraWait; up.Role == domain.RoleDecode {
+			w.MaxWait = maxExtraDecodeWait
 		}
-		w.Worth = seconds(perToken*float64(w.Held)) >= minGain
-		worth = worth || w.Worth
 		saved := learned.reliability(w.Age, now) * float64(w.Held)
 		evicts := c.evicted(up, memoryTokens, promptTokens-int(saved), keys, reused)
 		w.Gain = seconds(perToken * (saved + evictedWeight*(reused*float64(promptTokens)-evicts)))
@@ -95,14 +107,7 @@
 		if own := seconds(perToken*saved) - minGain; w.Worth && own > 0 && w.Gain > minGain {
 			w.Spare = int(min(own, w.Gain-minGain).Seconds() / queued)
 		}
-		weights[i] = w
 	}
-	if !worth {
-		for i := range weights {
-			weights[i].Gain = 0
-		}
-	}
-	return weights
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
