--- a/dispatch/generate.go
+++ b/dispatch/generate.go
@@ -186,7 +186,7 @@
 	klog.InfoS("stream started", "request", n.req.ID, "decode", reservation.Engine.ID, "prefill", prefillEngineID(prompt),
 		"process", reservation.Engine.Incarnation().String(), "software", reservation.Engine.Version, "resumes", n.req.Resumes, "after", n.lastEventID,
 		"waited", n.reservedAt.Sub(n.req.Arrived).Round(time.Millisecond), "read", prefillEnd.Sub(n.reservedAt).Round(time.Millisecond),
-		"reserved", reservation.Tokens, "held_prefill", n.held.prefill.Held, "held_decode", n.held.decode.Held, "version", n.configVersion)
+		"reserved", reservation.Tokens, "held_prefill", n.held.prefill.Held, "held_decode", n.held.decode.Held, "event_time", n.held.decode.eventTime, "version", n.configVersion)
 	result, refusal = g.streamEnded(ctx, n, reservation, g.relayEvents(ctx, n, stream))
 	return refusal
 }
--- a/dispatch/held.go
+++ b/dispatch/held.go
@@ -20,6 +20,8 @@
 	promptcache.Weight
 	// changed says that another engine would have been chosen without regard to what engines hold.
 	changed bool
+	// eventTime is the relative time of a decode engine's streams, 0 if engines do not differ.
+	eventTime float64
 }
 
 // heldPrompt is what was expected of the engines that a request was sent to last.
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -128,7 +128,7 @@
 		at, changed := pickCheapest(remaining, g.cfg.Zone)
 		next := remaining[at].up
 		if g.cfg.RateLimits.TakeReady(next) {
-			up, held = next, heldChoice{Weight: remaining[at].weight, changed: changed}
+			up, held = next, heldChoice{Weight: remaining[at].weight, changed: changed, eventTime: remaining[at].eventTime}
 		} else {
 			notReady = append(notReady, next)
 		}
