--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -12,6 +12,7 @@
 	"greengagespoke/domain"
 	"greengagespoke/internal/shard"
 	"greengagespoke/origins"
+	"greengagespoke/promptcache"
 	"greengagespoke/quarantine"
 	"greengagespoke/quota"
 	"greengagespoke/ratelimit"
@@ -68,12 +69,15 @@
 	stats           statsMap
 	slots           *slotReserver
 	prefillSelector *prefillSelector
+	prompts         heldPrompts
 	isolator        isolator
 	pace            *pace
 	urgency         *urgencies
 	// mixedVersions holds until when a service counts as one of several software versions.
 	mixedVersions *shard.Map[traffic.ServiceName, time.Time]
-	metrics       metrics
+	// spreads holds how much the streams of one engine differ, of each service.
+	spreads *shard.Map[traffic.ServiceName, *spread]
+	metrics metrics
 	// hostEnds is done once the host ends, so that all requests in flight end.
 	hostEnds context.Context
 	endAll   context.CancelFunc
@@ -83,6 +87,8 @@
 func NewGate(cfg Config) *Gate {
 	g := &Gate{cfg: cfg, stats: newStatsMap(), metrics: newMetrics(cfg.Counters), prefillSelector: newPrefillSelector(), isolator: newIsolator(), pace: newPace(), urgency: newUrgencies(cfg.Counters), mixedVersions: shard.NewMap[traffic.ServiceName, time.Time]()}
 	g.slots = newSlotReserver(g)
+	g.prompts = promptcache.New()
+	g.spreads = shard.NewMap[traffic.ServiceName, *spread]()
 	g.hostEnds, g.endAll = context.WithCancel(context.Background())
 	return g
 }
@@ -120,6 +126,8 @@
 	replaced map[traffic.Incarnation]bool
 	// breaks counts the streams that broke at a process.
 	breaks map[traffic.Incarnation]int
+	// held is what was expected of the engines that were chosen last.
+	held heldPrompt
 	// eventsSent is the number of events that the caller got, lastEventAt when it got the last one.
 	eventsSent  int
 	lastEventAt time.Time
--- a/platformentry/reload.go
+++ b/platformentry/reload.go
@@ -71,5 +71,7 @@
 	d.drainLimit.Store(int64(s.DrainLimit))
 	d.maxAddressListTTL.Store(int64(s.MaxAddressListTTL))
 	d.quotas.SetBounds(quotaBounds(s))
+	d.limitRuntime(s)
+	d.memory.SetLimit(s.MemoryBytes)
 	d.retryBudget.Set(dispatch.BudgetLimits{Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow})
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -51,8 +51,12 @@
 }
 
 // rateLimitFinding ends a finding of a request that was refused for rate limits, though workers
-// without one take requests.
-const rateLimitFinding = "for rate limits though other workers have none"
+// without one take requests, crashFinding one of a request that was refused as crashing workers,
+// though it did not.
+const (
+	rateLimitFinding = "for rate limits though other workers have none"
+	crashFinding     = "as if it crashed workers"
+)
 
 // contentOf returns what a request says. Two streams in a row of a caller say the same.
 func contentOf(id string, k kind) string {
@@ -121,26 +125,30 @@
 		}
 		req.Header.Set(wire.HeaderLastEventID, strconv.Itoa(t.last))
 	}
+	customer := customerOf(t.first)
+	r.keys.authorize(req, customer)
 	sentAt := time.Now()
 	req.Header.Set(headerSoakHost, h.name)
 	req.Header.Set(headerSoakSent, strconv.FormatInt(sentAt.UnixNano(), 10))
 	resp, err := client.Do(req)
 	if err != nil {
 		r.ledger.add(sent{id: id, kind: k, host: h.name})
-		r.cut.count(h, sentAt, false)
+		r.countCut(h, sentAt, customer, false)
 		return t
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := readAnswer(resp.Body, k == kindNote && t.last == 0 && strings.HasSuffix(id, "0"))
 	r.words.observe(h.name, resp.Header)
 	s := sent{id: id, kind: k, host: h.name, status: resp.StatusCode}
-	s.promised = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	s.promised = resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests ||
+		resp.StatusCode == http.StatusUnauthorized
 	r.ledger.add(s)
 	if t.last == 0 {
-		r.cut.count(h, sentAt, resp.StatusCode == http.StatusOK)
+		r.countCut(h, sentAt, customer, resp.StatusCode == http.StatusOK)
 	}
+	r.checkStatus(h, id, customer, resp.StatusCode, calm)
 	if calm && strings.Contains(body, string(domain.RefusalQuarantined)) {
-		r.ledger.find("request %s with the parts %s was refused by %s as if it crashed workers", id, t.parts, h.name)
+		r.ledger.find("request %s with the parts %s was refused by %s "+crashFinding, id, t.parts, h.name)
 	}
 	if calm && t.last == 0 && !r.broken.Load() && !r.cut.begun(h, sentAt) && strings.Contains(body, "rate limits") {
 		r.ledger.find("request %s (%s) was refused by %s "+rateLimitFinding, id, kindPaths[k], h.name)
@@ -160,6 +168,13 @@
 	return t
 }
 
+// countCut counts a request whose key is valid in all versions.
+func (r *run) countCut(h *host, sentAt time.Time, customer string, answered bool) {
+	if isResident(customer) {
+		r.cut.count(h, sentAt, answered)
+	}
+}
+
 // errBrokenOff means that the caller broke a stream off.
 var errBrokenOff = errors.New("the caller broke the stream off")
 
