quota: callers are called back after hosts that started grant

Cause: a host that started without knowing a granting host called callers back after 0.5 to 1 s, before any host granted; callers come back once, so that their requests were lost. Change: within 2.5 s of its start, a host calls them back after that. Result: TestCallersReturnAfterTheStart fails without it.

--- a/quota/ask.go
+++ b/quota/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -35,6 +36,9 @@
 	// that if no granting host answers: about the time in which one is replaced or reached again.
 	minRetryAfter     = 50 * time.Millisecond
 	unknownRetryAfter = 500 * time.Millisecond
+	// startupTime is the time from the start of a host until it knows the granting hosts and those
+	// that start with it grant. Callers come back once only, so that they are not called back sooner.
+	startupTime = 2500 * time.Millisecond
 	// maxSpread bounds the time over which the return of refused callers is spread.
 	maxSpread = 5 * time.Second
 	// answersAwaited bounds the answers that a request waits for while questions are outstanding, for
@@ -364,7 +368,8 @@
 
 // denial describes why a request of a cost is refused now. a.mu must be held.
 func (a *account) denial(now time.Duration, cost float64) *Denial {
-	d := &Denial{Known: a.describe(now), RetryAfter: time.Duration(float64(unknownRetryAfter) * jitter(1))}
+	wait := max(unknownRetryAfter, a.q.startedAt+startupTime-now)
+	d := &Denial{Known: a.describe(now), RetryAfter: wait + rand.N(unknownRetryAfter)}
 	rate, level := 0.0, 0.0
 	for _, s := range a.sources {
 		if !s.known || s.failed || !s.denied {
--- a/quota/grant_test.go
+++ b/quota/grant_test.go
@@ -286,3 +286,27 @@
 		}
 	})
 }
+
+// A caller comes back once only. If it is called back before the hosts that start together grant
+// anything, its request is lost.
+func TestCallersReturnAfterTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New(Config{
+			Self: "h", Members: func() []domain.Member { return nil }, Ready: func() bool { return false },
+			Contact:  func() Contact { return Contact{Heard: time.Hour, Suspected: time.Hour} },
+			Customer: func(traffic.CustomerName) (*traffic.Customer, domain.Revision) { return nil, 1 },
+		})
+		began := time.Now()
+		for _, c := range []struct{ at, least, most time.Duration }{
+			{0, startupTime, startupTime + unknownRetryAfter},
+			{2 * time.Second, 500 * time.Millisecond, time.Second},
+			{10 * time.Second, unknownRetryAfter, 2 * unknownRetryAfter},
+		} {
+			time.Sleep(time.Until(began.Add(c.at)))
+			_, denial := q.Charge(t.Context(), customer("c", 1000), 100, time.Millisecond, 1)
+			if denial == nil || denial.Over || denial.RetryAfter < c.least-10*time.Millisecond || denial.RetryAfter > c.most {
+				t.Errorf("after %v: %+v, want to be called back in %v to %v", c.at, denial, c.least, c.most)
+			}
+		}
+	})
+}
