dispatch: tests of failed prefills and of what held prompts teach

Cause: no test failed when a failed call counted as held, or a short call as that of a fast engine. Change: TestFailedPrefillsAreNotHeld, TestHeldPromptsDoNotMakeEnginesFast, and a check of the tokens that probes leave out.

--- a/dispatch/held_test.go
+++ b/dispatch/held_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/promptcache"
 	"greengagespoke/traffic"
 )
 
@@ -108,6 +109,9 @@
 			if unchanged := full && f.gate.metrics.heldChoices.Value() == 0; unchanged != same {
 				t.Errorf("%d shared tokens: choices unchanged %t, want %t", shared, unchanged, same)
 			}
+			if least := slices.Min(probed); !same && least >= testMemory-maxIdleTokens-shared {
+				t.Errorf("the probes of engines that hold the prompt leave out %d tokens", testMemory-maxIdleTokens-least)
+			}
 			if f.gate.metrics.heldPrefillTokens.Value() == 0 {
 				t.Errorf("%d shared tokens: none counted", shared)
 			}
@@ -115,6 +119,43 @@
 	})
 }
 
+// A prompt does not count as held if the engine did not run the call or may have ended. Guards against
+// following prompts that no engine has, and against forgetting them when callers leave.
+func TestFailedPrefillsAreNotHeld(t *testing.T) {
+	for name, c := range map[string]struct {
+		err  *traffic.CallError
+		held bool
+	}{
+		"rejected": {errRejected, false},
+		"not sent": {errConnectionRefused, false},
+		"lost":     {&traffic.CallError{Effect: traffic.EffectUnknown, ConnectionLost: true, Err: errReset}, false},
+		"silent":   {errReset, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, 1)
+			var up *traffic.Upstream
+			f.prefill = func(u *traffic.Upstream) error { up = u; return c.err }
+			req := sessionRequest(2600, 100)
+			f.gate.Serve(context.Background(), req, &fakeCaller{})
+			held := f.gate.prompts.Weigh([]*traffic.Upstream{up}, testMemory, req.PromptParts, req.PromptTokens, time.Now()) != nil
+			if held != c.held {
+				t.Errorf("%s: held %t, want %t", name, held, c.held)
+			}
+		})
+	}
+}
+
+// Calls that were short because of what the engine holds must not make it count as a fast one.
+func TestHeldPromptsDoNotMakeEnginesFast(t *testing.T) {
+	h := heldChoice{Weight: promptcache.Weight{Held: 5400, Worth: true, Call: 200 * time.Millisecond}}
+	if h.wholeCall(40*time.Millisecond) != h.Call || h.wholeCall(time.Second) != time.Second || h.processed(6000) != 600 {
+		t.Errorf("%s and %d tokens for a call of 40 ms", h.wholeCall(40*time.Millisecond), h.processed(6000))
+	}
+	if h.Worth = false; h.wholeCall(40*time.Millisecond) != 40*time.Millisecond || h.processed(6000) != 6000 {
+		t.Error("a call that was not chosen for what is held counts as another one")
+	}
+}
+
 // Prompts that were read for nothing are counted once each, by what made them useless. Guards
 // against a cause that hides in another one's count.
 func TestPromptsReadForNothingByCause(t *testing.T) {
