membudget: small bodies without a length begin with a small buffer

Cause: a body without a length began with 16 KB, however small it was; the test of a sender that comes steadily passed when its promise lapsed, as the room left was larger than what it needed. Change: it begins with 2 KB; the test fills the budget in small parts. Result: the tests of membudget, ingress, upstream, platformentry, dispatch, peerrpc and registry pass; with the promise taken out, TestBodyThatStopsComingKeepsLittleRoom fails.

--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -200,7 +200,7 @@
 		if held, most := b.HeldInAll(), b.cost(size)+int64(len(ends)-1)*b.cost(firstStep); held > most {
 			t.Errorf("%d bytes held, want at most %d for one body that comes and %d that have stopped", held, most, len(ends)-1)
 		}
-		fill(b, Claim{Use: Bodies, Size: size}, size)
+		fill(b, Claim{Use: Bodies, Size: size}, SmallBytes)
 		_, _ = steady.Write(make([]byte, size-sent))
 		if err := <-done; err != nil {
 			t.Errorf("the body that came steadily was not read: %v", err)
--- a/internal/membudget/read.go
+++ b/internal/membudget/read.go
@@ -10,6 +10,8 @@
 const (
 	// firstStep is the size of the first buffer of a body of a declared length.
 	firstStep = 64 << 10
+	// firstUndeclaredStep is that of a body without a length, which is small as a rule.
+	firstUndeclaredStep = 2 << 10
 	// declaredGrowth and undeclaredGrowth are how many times larger each buffer is than the one
 	// before. A body of a declared length ends in a buffer of that very length; one without a
 	// length leaves up to half of its last buffer unused.
@@ -100,7 +102,7 @@
 func (a *arrival) read(r io.Reader, body Body) ([]byte, error) {
 	declared, size, growth := body.Declared, int64(firstStep), int64(declaredGrowth)
 	if declared < 0 {
-		size, growth = SmallBytes, undeclaredGrowth
+		size, growth = firstUndeclaredStep, undeclaredGrowth
 	}
 	if declared >= 0 && !a.takeAll(declared) {
 		return nil, ErrNoRoom
