platformentry: the metrics listener serves what the host believes

Cause: quotas, urgency and memory decide by state that only log lines and sums over all customers showed, so an operator could not see which granting host a host takes for the right one, or whose quota is used up.

--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -364,7 +364,7 @@
 	return addressesFor(zone, d.members.Members()), min(addressListTTL, time.Duration(d.maxAddressListTTL.Load()))
 }
 
-// newListeners returns the host's listeners, including one for metrics unless
+// newListeners returns the host's listeners, including one for metrics and the status unless
 // metricsPort is 0.
 func (d *Daemon) newListeners(counterSet *counters.Set, metricsPort int) []kratosServer {
 	limits := func() (traffic.Limits, bool) {
@@ -396,5 +396,5 @@
 		return listeners
 	}
 	address := net.JoinHostPort(d.settings.IP, strconv.Itoa(metricsPort))
-	return append(listeners, d.listener(address, newMetricsServer(address, counterSet)))
+	return append(listeners, d.listener(address, newMetricsServer(address, counterSet, d.serveStatus)))
 }
--- a/platformentry/fixture_test.go
+++ b/platformentry/fixture_test.go
@@ -47,6 +47,8 @@
 	transport http.RoundTripper
 	// customers are those of the next configuration. Without any, requests need no keys.
 	customers []platformtest.Customer
+	// metricsPort is the metrics port of the next host, 0 for none.
+	metricsPort int
 }
 
 // host is one entry host under test.
@@ -135,7 +137,7 @@
 func (d *deployment) runHost(cfg *settings.Settings) *host {
 	ctx, stop := context.WithCancel(context.Background())
 	h := &host{stop: stop, done: make(chan error, 1), settings: *cfg}
-	daemon := platformentry.NewOn(d.network, &h.settings, 0)
+	daemon := platformentry.NewOn(d.network, &h.settings, d.metricsPort)
 	go func() {
 		h.done <- daemon.Run(ctx)
 		close(h.done)
--- a/platformentry/metrics.go
+++ b/platformentry/metrics.go
@@ -8,11 +8,16 @@
 	"greengagespoke/counters"
 )
 
-// newMetricsServer returns the listener that serves the counters as JSON.
-func newMetricsServer(address string, counterSet *counters.Set) *khttp.Server {
+// newMetricsServer returns the listener that serves the status at PathStatus, and the counters as
+// JSON at all other paths.
+func newMetricsServer(address string, counterSet *counters.Set, status http.HandlerFunc) *khttp.Server {
 	return khttp.NewServer(khttp.Address(address), khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler {
-			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == PathStatus {
+					status(w, r)
+					return
+				}
 				w.Header().Set("Content-Type", "application/json")
 				_, _ = w.Write([]byte(counterSet.String())) // A client that has disconnected needs no error handling.
 			})
--- a/quota/account.go
+++ b/quota/account.go
@@ -40,6 +40,7 @@
 	requests meter
 	charged  meter
 	refused  meter
+	usage    usage
 	// allowances is the log of what the allowance admitted.
 	allowances grantLog
 
@@ -199,6 +200,7 @@
 	returns := a.returns
 	a.returns = nil
 	for i := range returns {
+		a.usage.givenBack.add(now, returns[i].tokens)
 		returns[i].host, _, _ = v.grantingHost(a.name, returns[i].part)
 		for _, s := range a.sources {
 			s.denied = s.denied && s.part != returns[i].part // The part has more than it had.
@@ -249,6 +251,7 @@
 func (a *account) countCharge(now time.Duration, cost float64) {
 	a.requests.add(now, 1)
 	a.charged.add(now, cost)
+	a.usage.charged.add(now, cost)
 	a.q.counts.spent.Add(int64(cost))
 }
 
--- a/quota/ask.go
+++ b/quota/ask.go
@@ -111,6 +111,7 @@
 	defer a.mu.Unlock()
 	now := q.cfg.Clock()
 	q.counts.spent.Add(-int64(charge.cost))
+	a.usage.charged.add(now, -charge.cost)
 	for _, g := range charge.pieces {
 		switch {
 		case g.part == allowancePart:
@@ -136,10 +137,13 @@
 	if denial == nil {
 		return
 	}
+	now := a.q.cfg.Clock()
 	if denial.Over {
-		a.refused.add(a.q.cfg.Clock(), w.cost)
+		a.refused.add(now, w.cost)
+		a.usage.over.add(now, w.cost)
 		a.q.counts.over.Add(1)
 	} else {
+		a.usage.unknown.add(now, w.cost)
 		a.q.counts.unknown.Add(1)
 	}
 }
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -47,6 +47,17 @@
 	l.total += tokens
 }
 
+// sum returns the sum of the window that ends now.
+func (l *grantLog) sum(now, window time.Duration) float64 {
+	total := l.total
+	for _, s := range l.slices {
+		if time.Duration(s.index+1)*sliceLength <= now-window {
+			total -= s.tokens
+		}
+	}
+	return total
+}
+
 // remove takes off what was added at about a time, or before, and returns how much it was. It takes
 // nothing off later entries: those stay in the window for longer.
 func (l *grantLog) remove(at time.Duration, tokens float64) float64 {
--- a/quota/grant.go
+++ b/quota/grant.go
@@ -100,7 +100,7 @@
 	if !ok {
 		return ports.QuotaReply{NotGranting: true, Wait: notGrantingWait}, nil
 	}
-	if start := max(q.startOf(now, p), q.quietAt+q.settling(now)); now < start {
+	if start := q.grantsFrom(now, p); now < start {
 		return ports.QuotaReply{NotGranting: true, Wait: min(start-now, notGrantingWait)}, nil
 	}
 	return q.grant(now, p, customer.Quota, req), nil
@@ -120,6 +120,11 @@
 	return max(max(p.since, q.startedAt)+q.settling(now), q.mayGrantFrom)
 }
 
+// grantsFrom returns when this host begins to grant a part. q.mu must be held.
+func (q *Quotas) grantsFrom(now time.Duration, p *part) time.Duration {
+	return max(q.startOf(now, p), q.quietAt+q.settling(now))
+}
+
 // grantingPart returns the state of a part of which this host is the granting one. q.mu must be
 // held.
 func (q *Quotas) grantingPart(now time.Duration, key partKey) (*part, bool) {
