--- a/adapters/cli/cli.go
+++ b/adapters/cli/cli.go
@@ -39,6 +39,7 @@
 		tablesCommand(),
 		entrypointsCommand(),
 		callCommand(),
+		statusCommand(),
 		standinCommand(),
 		demoCommand(),
 		settingsCommand(),
--- a/cmd/greengagespoke/script_test.go
+++ b/cmd/greengagespoke/script_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,7 +29,7 @@
 	// waitInterval is the pause between two checks of a condition.
 	waitInterval = 10 * time.Millisecond
 	// addressesPerScript is the number of free addresses that a script gets, as
-	// $ADDR1, $ADDR2 and so on.
+	// $ADDR1, $ADDR2 and so on, and their parts as $IP1, $PORT1 and so on.
 	addressesPerScript = 8
 )
 
@@ -69,7 +70,13 @@
 		if err != nil {
 			return err
 		}
+		ip, port, err := net.SplitHostPort(address)
+		if err != nil {
+			return err
+		}
 		env.Setenv(fmt.Sprintf("ADDR%d", i+1), address)
+		env.Setenv(fmt.Sprintf("IP%d", i+1), ip)
+		env.Setenv(fmt.Sprintf("PORT%d", i+1), port)
 	}
 	// By default a process under the race detector sleeps for one second at exit.
 	env.Setenv("GORACE", "atexit_sleep_ms=0")
