dispatch: explain where a request would go now

Cause: why a request goes to an upstream, or to none, could only be learnt by sending it and reading the log. Change: GET /explain of the metrics listener resolves route, customer, quota and level of a request, and lists the upstreams of its services with their costs or the reason why they are out. Candidates, key check, cost and reserved tokens are split so that it uses the same code without probes, counts and log lines.

--- a/catalog/upstreams.go
+++ b/catalog/upstreams.go
@@ -74,6 +74,18 @@
 	return c.snapshot.Load().ready[service]
 }
 
+// Registered returns the upstreams of a service in any state, sorted by identifier.
+func (c *Catalog) Registered(service traffic.ServiceName) []*traffic.Upstream {
+	var registered []*traffic.Upstream
+	for _, u := range c.snapshot.Load().all {
+		if u.Service == service {
+			registered = append(registered, u)
+		}
+	}
+	slices.SortFunc(registered, func(a, b *traffic.Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return registered
+}
+
 // Current reports whether this incarnation of an upstream accepts new requests.
 func (c *Catalog) Current(u *traffic.Upstream) bool {
 	registered, ok := c.snapshot.Load().all[u.ID]
--- a/dispatch/customers.go
+++ b/dispatch/customers.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"expvar"
 	"time"
 
 	"greengagespoke/domain"
@@ -40,19 +41,25 @@
 // checkKey returns the refusal of a request without the key of a customer that its route needs, or
 // nil. The customer of a request that another host passed on is checked by declineHop.
 func (g *Gate) checkKey(req *traffic.Request, config *traffic.Config, route *traffic.Route, customer *traffic.Customer) *domain.Refusal {
+	refusal, counter := g.keyRefusal(req, config, route, customer)
+	if refusal != nil {
+		counter.Add(1)
+	}
+	return refusal
+}
+
+// keyRefusal does the same without counting, and returns the counter of the refusal.
+func (g *Gate) keyRefusal(req *traffic.Request, config *traffic.Config, route *traffic.Route, customer *traffic.Customer) (*domain.Refusal, *expvar.Int) {
 	switch {
 	case !config.RequiresKeys || route.Public || customer != nil || req.Hop != nil:
-		return nil
+		return nil, nil
 	case !req.Credential.Given():
-		g.metrics.keysMissing.Add(1)
-		return domain.Refuse(domain.RefusalUnauthenticated, "the request carries no key", "send the key of a customer")
+		return domain.Refuse(domain.RefusalUnauthenticated, "the request carries no key", "send the key of a customer"), g.metrics.keysMissing
 	case g.cfg.Catalog.MayLackConfig():
-		g.metrics.keysUndecided.Add(1)
 		return domain.Refuse(domain.RefusalStoreDown, "this host does not know the key, and may lack a newer configuration",
-			"try again after the stated time").WithRetryAfter(outdatedRetryAfter)
+			"try again after the stated time").WithRetryAfter(outdatedRetryAfter), g.metrics.keysUndecided
 	default:
-		g.metrics.keysUnknown.Add(1)
-		return domain.Refuse(domain.RefusalUnauthenticated, "no customer has the key", "send the key of a customer")
+		return domain.Refuse(domain.RefusalUnauthenticated, "no customer has the key", "send the key of a customer"), g.metrics.keysUnknown
 	}
 }
 
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -237,7 +237,7 @@
 		return refusal
 	}
 	if route == nil {
-		return domain.Refuse(domain.RefusalNoRoute, "no route has this host name and path", "check host name and path")
+		return noRouteRefusal()
 	}
 	return g.checkKey(req, config, route, customer)
 }
@@ -273,6 +273,11 @@
 // timeLeft returns the time until the caller's deadline.
 func (f *inFlight) timeLeft(now time.Time) time.Duration { return f.req.Deadline.Sub(now) }
 
+// noRouteRefusal is the refusal of a request for which the configuration has no route.
+func noRouteRefusal() *domain.Refusal {
+	return domain.Refuse(domain.RefusalNoRoute, "no route has this host name and path", "check host name and path")
+}
+
 // noUpstreamRefusal is the refusal for a service without a usable upstream.
 func noUpstreamRefusal(service traffic.ServiceName) *domain.Refusal {
 	return domain.Refuse(domain.RefusalNoUpstream, "service "+string(service)+" has no upstream that takes work",
--- a/dispatch/pick.go
+++ b/dispatch/pick.go
@@ -54,22 +54,34 @@
 // candidates returns the healthy upstreams of a service for which eligible returns
 // true. If all of them have rate limits, or there are none, it also returns the unhealthy ones.
 func (g *Gate) candidates(service traffic.ServiceName, now time.Time, eligible func(*traffic.Upstream) bool) []candidate {
-	var healthy, unhealthy []candidate
+	healthy, unhealthy := g.observed(service, now, eligible)
+	for _, c := range unhealthy {
+		if t := g.stats.forUpstream(c.up); t.beginProbe(now) {
+			go g.probe(c.up, t)
+		}
+	}
+	return g.usable(healthy, unhealthy)
+}
+
+// observed returns the upstreams of a service for which eligible returns true.
+func (g *Gate) observed(service traffic.ServiceName, now time.Time, eligible func(*traffic.Upstream) bool) (healthy, unhealthy []candidate) {
 	for _, up := range g.cfg.Catalog.Ready(service) {
 		if !eligible(up) {
 			continue
 		}
-		t := g.stats.forUpstream(up)
-		c := candidate{up: up, health: t.health(now), connected: g.cfg.Upstreams.Connected(up)}
-		if c.health.unhealthy && t.beginProbe(now) {
-			go g.probe(up, t)
-		}
+		c := candidate{up: up, health: g.stats.forUpstream(up).health(now), connected: g.cfg.Upstreams.Connected(up)}
 		if c.health.unhealthy {
 			unhealthy = append(unhealthy, c)
 		} else {
 			healthy = append(healthy, c)
 		}
 	}
+	return healthy, unhealthy
+}
+
+// usable returns the healthy candidates, and the others if all of these have rate limits or there are
+// none.
+func (g *Gate) usable(healthy, unhealthy []candidate) []candidate {
 	if slices.ContainsFunc(healthy, func(c candidate) bool { return !g.cfg.RateLimits.Limited(c.up) }) {
 		return healthy
 	}
@@ -85,12 +97,25 @@
 
 // cost estimates the time lost by choosing the candidate.
 func (c candidate) cost(zone domain.Zone) time.Duration {
-	cost := c.health.meanLatency + time.Duration(c.health.activeCalls)*activeCallCost
-	cost += time.Duration(c.health.failureRate * float64(failureCost))
+	return c.costs(zone).sum() + c.tieBreak()
+}
+
+// costs holds what the cost of a candidate is made of, but for the tie-break.
+type costs struct{ latency, activeCalls, failures, otherZone, newConnection time.Duration }
+
+func (c costs) sum() time.Duration {
+	return c.latency + c.activeCalls + c.failures + c.otherZone + c.newConnection
+}
+
+func (c candidate) costs(zone domain.Zone) costs {
+	parts := costs{
+		latency: c.health.meanLatency, activeCalls: time.Duration(c.health.activeCalls) * activeCallCost,
+		failures: time.Duration(c.health.failureRate * float64(failureCost)), newConnection: c.connectionCost(),
+	}
 	if c.up.Zone != zone {
-		cost += crossZoneCost
+		parts.otherZone = crossZoneCost
 	}
-	return cost + c.connectionCost() + c.tieBreak()
+	return parts
 }
 
 // connectionCost is the cost of opening a connection to the candidate, if needed.
--- a/dispatch/places.go
+++ b/dispatch/places.go
@@ -331,14 +331,7 @@
 // none grants it.
 func (p *slotReserver) tryReserve(ctx context.Context, f *inFlight, q *slotQueue, now time.Time, w *waiter) (*traffic.Reservation, tryResult) {
 	g := p.gate
-	needed := estimateTokens(f.req)
-	headroom := int(growthHeadroomFactor * float64(f.req.MaxOutput))
-	if w.isLate(now) {
-		headroom = lateHeadroomRequests * needed
-	}
-	headroom = max(headroom, q.levelHeadroom(w, f.engine.MemoryTokens, now))
-	// The headroom must not keep a request that fits from an empty engine.
-	tokens := max(needed, min(needed+headroom, f.engine.MemoryTokens))
+	needed, tokens := q.tokensFor(f, w, now)
 	full := false
 	another := g.hasOtherEngine(f)
 	remaining := g.candidates(f.service, now, func(up *traffic.Upstream) bool {
@@ -395,6 +388,19 @@
 	return nil, failure
 }
 
+// tokensFor returns the memory that a request needs on a decode engine, and that with the headroom
+// that must stay free, in tokens.
+func (q *slotQueue) tokensFor(f *inFlight, w *waiter, now time.Time) (needed, tokens int) {
+	needed = estimateTokens(f.req)
+	headroom := int(growthHeadroomFactor * float64(f.req.MaxOutput))
+	if w.isLate(now) {
+		headroom = lateHeadroomRequests * needed
+	}
+	headroom = max(headroom, q.levelHeadroom(w, f.engine.MemoryTokens, now))
+	// The headroom must not keep a request that fits from an empty engine.
+	return needed, max(needed, min(needed+headroom, f.engine.MemoryTokens))
+}
+
 // reserve asks one engine for a slot.
 func (g *Gate) reserve(ctx context.Context, f *inFlight, up *traffic.Upstream, tokens int, ttl time.Duration) (*traffic.Reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
--- a/platformentry/daemon.go
+++ b/platformentry/daemon.go
@@ -396,5 +396,6 @@
 		return listeners
 	}
 	address := net.JoinHostPort(d.settings.IP, strconv.Itoa(metricsPort))
-	return append(listeners, d.listener(address, newMetricsServer(address, counterSet, d.serveStatus)))
+	pages := map[string]http.HandlerFunc{PathStatus: d.serveStatus, PathExplain: d.serveExplain}
+	return append(listeners, d.listener(address, newMetricsServer(address, counterSet, pages)))
 }
--- a/platformentry/metrics.go
+++ b/platformentry/metrics.go
@@ -8,14 +8,14 @@
 	"greengagespoke/counters"
 )
 
-// newMetricsServer returns the listener that serves the status at PathStatus, and the counters as
-// JSON at all other paths.
-func newMetricsServer(address string, counterSet *counters.Set, status http.HandlerFunc) *khttp.Server {
+// newMetricsServer returns the listener that serves pages at their paths, and the counters as JSON at
+// all other paths.
+func newMetricsServer(address string, counterSet *counters.Set, pages map[string]http.HandlerFunc) *khttp.Server {
 	return khttp.NewServer(khttp.Address(address), khttp.Timeout(0),
 		khttp.Filter(func(http.Handler) http.Handler {
 			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if r.URL.Path == PathStatus {
-					status(w, r)
+				if page, ok := pages[r.URL.Path]; ok {
+					page(w, r)
 					return
 				}
 				w.Header().Set("Content-Type", "application/json")
--- a/platformentry/status.go
+++ b/platformentry/status.go
@@ -44,12 +44,23 @@
 
 // serveStatus answers with the status as JSON.
 func (d *Daemon) serveStatus(w http.ResponseWriter, r *http.Request) {
-	if r.Method != http.MethodGet && r.Method != http.MethodHead {
-		w.Header().Set("Allow", "GET, HEAD")
-		http.Error(w, "the status can only be read", http.StatusMethodNotAllowed)
-		return
+	if readsOnly(w, r) {
+		writeJSON(w, d.status())
 	}
+}
+
+// readsOnly reports whether a request only reads, and refuses it otherwise.
+func readsOnly(w http.ResponseWriter, r *http.Request) bool {
+	if r.Method == http.MethodGet || r.Method == http.MethodHead {
+		return true
+	}
+	w.Header().Set("Allow", "GET, HEAD")
+	http.Error(w, "this can only be read", http.StatusMethodNotAllowed)
+	return false
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Cache-Control", "no-store")
-	_ = json.NewEncoder(w).Encode(d.status()) // A client that has disconnected needs no error handling.
+	_ = json.NewEncoder(w).Encode(value) // A client that has disconnected needs no error handling.
 }
--- a/platformentry/status_test.go
+++ b/platformentry/status_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,18 +12,27 @@
 	"testing"
 	"time"
 
+	"greengagespoke/dispatch"
 	"greengagespoke/domain"
 	"greengagespoke/platform/platformtest"
 	"greengagespoke/platformentry"
 )
 
-// status returns the status of a host and its text. The host has the metrics port d.metricsPort.
+// status returns the status of a host and its text.
 func (d *deployment) status(method string) (status platformentry.Status, text string, code int) {
 	d.t.Helper()
-	req, err := http.NewRequestWithContext(d.t.Context(), method, fmt.Sprintf("http://127.0.0.1:%d%s", d.metricsPort, platformentry.PathStatus), http.NoBody)
+	text, code = d.page(method, platformentry.PathStatus, nil, &status)
+	return status, text, code
+}
+
+// page decodes what the metrics listener of the host with d.metricsPort answers, and returns its text.
+func (d *deployment) page(method, path string, header http.Header, into any) (text string, code int) {
+	d.t.Helper()
+	req, err := http.NewRequestWithContext(d.t.Context(), method, fmt.Sprintf("http://127.0.0.1:%d%s", d.metricsPort, path), http.NoBody)
 	if err != nil {
 		d.t.Fatal(err)
 	}
+	maps.Copy(req.Header, header)
 	resp, err := d.transport.RoundTrip(req)
 	if err != nil {
 		d.t.Fatal(err)
@@ -33,11 +43,11 @@
 		d.t.Fatal(err)
 	}
 	if resp.StatusCode == http.StatusOK {
-		if err := json.Unmarshal(body, &status); err != nil {
+		if err := json.Unmarshal(body, into); err != nil {
 			d.t.Fatalf("%v: %s", err, body)
 		}
 	}
-	return status, string(body), resp.StatusCode
+	return string(body), resp.StatusCode
 }
 
 // The status must tell what the host serves by, and must hold no key of a customer or caller and no
@@ -75,6 +85,7 @@
 			t.Errorf("the status holds %q: %s", secret, text)
 		}
 	}
+	d.checkExplanations()
 	if _, _, code := d.status(http.MethodPost); code != http.StatusMethodNotAllowed {
 		t.Errorf("POST got %d", code)
 	}
@@ -90,3 +101,21 @@
 		t.Errorf("leaving: %s", text)
 	}
 }
+
+// checkExplanations checks that a host finds the customer of a key, refuses an unknown one as it does
+// requests, charges nothing and echoes no key.
+func (d *deployment) checkExplanations() {
+	d.t.Helper()
+	before, _, _ := d.status(http.MethodGet)
+	for key, refused := range map[string]bool{"gold": false, "silver": false, "unknown": true} {
+		var e dispatch.Explanation
+		text, code := d.page(http.MethodGet, platformentry.PathExplain+"?host="+testHost+"&path=/status/x", keyOf(key), &e)
+		if code != http.StatusOK || (e.Refused != "") != refused || !refused && string(e.Customer) != key || (e.Quota != nil) != (key == "gold") ||
+			e.Route != "/status/" || len(e.Services) != 1 || len(e.Services[0].Upstreams) != 3 || strings.Contains(text, keyPrefix) {
+			d.t.Errorf("key of %s: %d %s", key, code, text)
+		}
+	}
+	if after, _, _ := d.status(http.MethodGet); after.Quotas.Customers[0].Recent != before.Quotas.Customers[0].Recent {
+		d.t.Errorf("charged: %+v", after.Quotas)
+	}
+}
--- a/quota/snapshot.go
+++ b/quota/snapshot.go
@@ -97,34 +97,47 @@
 func (q *Quotas) Snapshot(limit int) Snapshot {
 	now := q.cfg.Clock()
 	granted := q.grantSnapshots(now)
-	found := make(map[traffic.CustomerName]Recent, len(granted))
-	for name := range granted {
-		found[name] = Recent{}
+	type usedCustomer struct {
+		name   traffic.CustomerName
+		recent Recent
 	}
+	var used []usedCustomer
 	for _, a := range q.accounts.Values() {
-		found[a.name] = a.recent()
+		used = append(used, usedCustomer{a.name, a.recent()})
 	}
-	names := make([]traffic.CustomerName, 0, len(found))
-	for name := range found {
-		names = append(names, name)
+	for name := range granted {
+		if _, ok := q.accounts.Load(name); !ok {
+			used = append(used, usedCustomer{name: name})
+		}
 	}
-	slices.SortFunc(names, func(x, y traffic.CustomerName) int {
-		a, b := found[x], found[y]
-		return cmp.Or(cmp.Compare(b.Over+b.Unknown, a.Over+a.Unknown), cmp.Compare(b.Charged, a.Charged), cmp.Compare(x, y))
+	slices.SortFunc(used, func(x, y usedCustomer) int {
+		a, b := &x.recent, &y.recent
+		return cmp.Or(cmp.Compare(b.Over+b.Unknown, a.Over+a.Unknown), cmp.Compare(b.Charged, a.Charged), cmp.Compare(x.name, y.name))
 	})
-	shown := names[:min(limit, len(names))]
+	shown := used[:min(limit, len(used))]
 	s := Snapshot{
-		RecentSeconds: (recentHalf + now%recentHalf).Seconds(), LeftOut: len(names) - len(shown),
+		RecentSeconds: (recentHalf + now%recentHalf).Seconds(), LeftOut: len(used) - len(shown),
 		Customers: make([]CustomerSnapshot, 0, len(shown)),
 	}
-	for _, name := range shown {
-		c := q.customerSnapshot(now, name)
-		c.Recent, c.Grant = found[name], granted[name]
+	for _, u := range shown {
+		c := q.customerSnapshot(now, u.name)
+		c.Recent, c.Grant = u.recent, granted[u.name]
 		s.Customers = append(s.Customers, c)
 	}
 	return s
 }
 
+// Customer returns what is known of one customer. It changes nothing.
+func (q *Quotas) Customer(name traffic.CustomerName) CustomerSnapshot {
+	now := q.cfg.Clock()
+	c := q.customerSnapshot(now, name)
+	if a, used := q.accounts.Load(name); used {
+		c.Recent = a.recent()
+	}
+	c.Grant = q.grantSnapshots(now)[name]
+	return c
+}
+
 func (a *account) recent() Recent {
 	a.mu.Lock()
 	defer a.mu.Unlock()
