--- a/adapters/cli/cli.go
+++ b/adapters/cli/cli.go
@@ -40,6 +40,7 @@
 		entrypointsCommand(),
 		callCommand(),
 		statusCommand(),
+		explainCommand(),
 		standinCommand(),
 		demoCommand(),
 		settingsCommand(),
--- a/adapters/cli/status.go
+++ b/adapters/cli/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"text/tabwriter"
@@ -58,29 +59,39 @@
 }
 
 func fetchStatus(ctx context.Context, address string) (*platformentry.Status, error) {
+	status := new(platformentry.Status)
+	err := fetchPage(ctx, address, platformentry.PathStatus, nil, status)
+	if err == nil && status.Host == "" {
+		// Hosts without a status serve their counters at all paths.
+		err = eris.Errorf("the answer of %s is not a status; it may be a host of an earlier release", address)
+	}
+	return status, err
+}
+
+// fetchPage decodes what the metrics listener of a host answers at a path.
+func fetchPage(ctx context.Context, address, path string, header http.Header, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, hostStatusTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+platformentry.PathStatus, http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	client := &http.Client{Transport: httplimit.Transport(http.DefaultTransport.(*http.Transport).Clone())}
+	maps.Copy(req.Header, header)
+	transport := httplimit.Transport(http.DefaultTransport.(*http.Transport).Clone())
+	// The headers may have a key, which neither a proxy nor another address may get.
+	transport.Proxy = nil
+	client := &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	defer client.CloseIdleConnections()
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, &Fault{Code: ExitUnreachable, Err: eris.Wrapf(err, "no answer from %s; name the metrics port of a host", address)}
+		return &Fault{Code: ExitUnreachable, Err: eris.Wrapf(err, "no answer from %s; name the metrics port of a host", address)}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("%s answered with status %d; name the metrics port of a host", address, resp.StatusCode)
-	}
-	status := new(platformentry.Status)
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(status)
-	if err == nil && status.Host == "" {
-		// Hosts without a status serve their counters at all paths.
-		err = eris.New("it names no host")
+		return eris.Errorf("%s answered with status %d; name the metrics port of a host", address, resp.StatusCode)
 	}
-	return status, eris.Wrapf(err, "the answer of %s is not a status; it may be a host of an earlier release", address)
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(into)
+	return eris.Wrapf(err, "the answer of %s is not that of a metrics port", address)
 }
 
 func printStatus(out io.Writer, s *platformentry.Status) {
