--- a/adapters/cli/cli.go
+++ b/adapters/cli/cli.go
@@ -39,6 +39,8 @@
 		tablesCommand(),
 		entrypointsCommand(),
 		callCommand(),
+		statusCommand(),
+		explainCommand(),
 		standinCommand(),
 		demoCommand(),
 		settingsCommand(),
