--- a/quota/quota.go
+++ b/quota/quota.go
@@ -25,9 +25,9 @@
 	settleTime = 2 * time.Second
 	// jointStartTime replaces it within jointStartTTL of the start of hosts that started together:
 	// none of them has granted before, so that only their views must agree. If one has, as wall
-	// clocks were wrong, two hosts grant a part for 1.5 s, which the unused halves of the overage
+	// clocks were wrong, two hosts grant a part for 1.4 s, which the unused halves of the overage
 	// and the slack cover.
-	jointStartTime = 500 * time.Millisecond
+	jointStartTime = 600 * time.Millisecond
 	jointStartTTL  = 10 * time.Second
 	// tickInterval is the time between two checks of the view, the grants and the clock.
 	tickInterval = 250 * time.Millisecond
