dispatch: tests of explain notice probes, counts and the order by cost

Cause: an explanation that probed an upstream, counted a refused key or sorted by name passed the tests. Change: the upstream that is out may be probed, the cheapest one is not the first by name, and the counter of unknown keys is compared.

--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -22,19 +22,22 @@
 		for range 2 {
 			f.gate.stats.forUpstream(ups[0]).callEnded(outcomeConnectionFailed, time.Second, time.Now())
 		}
+		failed := f.gate.stats.forUpstream(ups[0])
+		failed.mustProbe = true
+		time.Sleep(maxOutOfRotation) // It may be probed from now on.
 		for range 3 {
-			f.gate.stats.forUpstream(ups[2]).callStarted()
+			f.gate.stats.forUpstream(ups[1]).callStarted()
 		}
-		f.gate.stats.forUpstream(ups[1]).callEnded(outcomeAnswered, 30*time.Millisecond, time.Now())
+		f.gate.stats.forUpstream(ups[2]).callEnded(outcomeAnswered, 30*time.Millisecond, time.Now())
 		f.catalog.Announced(ups[3])
 		before := f.gate.cfg.Counters.String()
 		e := f.gate.Explain(newRequest("/once/x"))
 		synctest.Wait()
-		if len(f.calls) > 0 || f.gate.cfg.Counters.String() != before || f.gate.stats.forUpstream(ups[0]).probing {
+		if len(f.calls) > 0 || f.gate.cfg.Counters.String() != before || failed.probing || !failed.mustProbe {
 			t.Errorf("sent, probed or counted: %v", f.calls)
 		}
 		got := e.Services[0].Upstreams
-		if len(got) != 4 || got[0].ID != "p2" || got[1].ID != "p3" || got[1].ActiveCallsMS != 45 || got[0].Out != "" ||
+		if len(got) != 4 || got[0].ID != "p3" || got[1].ID != "p2" || got[1].ActiveCallsMS != 45 || got[0].Out != "" ||
 			got[2].Out == "" || got[3].Out == "" || e.Route != "/once/" || e.Refused != "" || e.Services[0].Levels != 1 {
 			t.Fatalf("%+v", e)
 		}
--- a/platformentry/status_test.go
+++ b/platformentry/status_test.go
@@ -107,6 +107,10 @@
 func (d *deployment) checkExplanations() {
 	d.t.Helper()
 	before, _, _ := d.status(http.MethodGet)
+	var counted, countedAfter struct {
+		Unknown int `json:"dispatch_keys_unknown"`
+	}
+	d.page(http.MethodGet, "/metrics", nil, &counted)
 	for key, refused := range map[string]bool{"gold": false, "silver": false, "unknown": true} {
 		var e dispatch.Explanation
 		text, code := d.page(http.MethodGet, platformentry.PathExplain+"?host="+testHost+"&path=/status/x", keyOf(key), &e)
@@ -115,7 +119,8 @@
 			d.t.Errorf("key of %s: %d %s", key, code, text)
 		}
 	}
-	if after, _, _ := d.status(http.MethodGet); after.Quotas.Customers[0].Recent != before.Quotas.Customers[0].Recent {
-		d.t.Errorf("charged: %+v", after.Quotas)
+	d.page(http.MethodGet, "/metrics", nil, &countedAfter)
+	if after, _, _ := d.status(http.MethodGet); after.Quotas.Customers[0].Recent != before.Quotas.Customers[0].Recent || counted != countedAfter || counted.Unknown == 0 {
+		d.t.Errorf("charged or counted: %+v, %+v after %+v", after.Quotas, countedAfter, counted)
 	}
 }
