quota: zones of which half is lost, and requests beyond the burst

Cause: two faults found by review. A host that was lost without a word and stays on the list of hosts stopped the parts of a zone of two hosts. A request that costs more than a part can hold was asked for again without a pause until its wait ended. Change: of two halves of a zone, the one grants that sees most hosts of all zones; what a denial says of a part is bounded by its capacity. Result: TestHalfOfAZone fails without the first change, TestRequestBeyondTheBurst does not end without the second one. Both in one commit, as both came from one review.

--- a/quota/account.go
+++ b/quota/account.go
@@ -295,7 +295,9 @@
 	default:
 		s.failed, s.denied = false, true
 		wait := min(reply.Wait, longestWait)
-		s.level = needed - a.q.limitsOf(a.quota).rate*wait.Seconds()
+		// A request beyond the capacity waits for a full bucket.
+		l := a.q.limitsOf(a.quota)
+		s.level = min(needed, l.capacity) - l.rate*wait.Seconds()
 		s.levelAt = now + time.Duration(float64(min(wait, failedRetry))*(jitter(waitJitter)-1))
 	}
 }
--- a/quota/grant_test.go
+++ b/quota/grant_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -310,3 +311,61 @@
 		}
 	})
 }
+
+// One of two hosts of a zone that was lost without a word, and stays on the list of hosts, must not stop
+// the parts of that zone. Of two halves of the fleet only one may grant them.
+func TestHalfOfAZone(t *testing.T) {
+	member := func(id, zone string, state domain.MemberState) domain.Member {
+		return domain.Member{ID: domain.HostID(id), Zone: domain.Zone(zone), State: state}
+	}
+	grants := func(lost ...string) map[int]domain.HostID {
+		var members []domain.Member
+		for _, id := range []string{"a1", "a2", "b1", "b2", "c1", "c2"} {
+			state := domain.MemberAlive
+			if slices.Contains(lost, id) {
+				state = domain.MemberDead
+			}
+			members = append(members, member(id, id[:1], state))
+		}
+		granting, v := make(map[int]domain.HostID), newView(members, 0, nil)
+		for part := range partCount {
+			if host, _, ok := v.grantingHost("c", part); ok {
+				granting[part] = host
+			}
+		}
+		return granting
+	}
+	for _, lost := range []string{"a1", "a2"} {
+		if got := grants(lost); len(got) != partCount {
+			t.Errorf("%s lost: granting hosts %v", lost, got)
+		}
+	}
+	one, other := grants("a1", "b1", "c1"), grants("a2", "b2", "c2")
+	for part := range partCount {
+		if _, both := one[part]; both == (other[part] != "") {
+			t.Errorf("part %d: the halves of the fleet grant it at %q and %q", part, one[part], other[part])
+		}
+	}
+}
+
+// A request beyond the burst must be refused after a few questions, instead of being asked for without
+// a pause until its wait ends.
+func TestRequestBeyondTheBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := customer("c", 1000)
+		c.Quota.Burst = 1000
+		f := newFleet(t, 3, 3, c)
+		defer f.end()
+		time.Sleep(60 * time.Second)
+		for range 2 {
+			began, asked := time.Now(), f.hosts[0].q.counts.asked.Value()
+			_, denial := f.hosts[0].q.Charge(t.Context(), c, 200_000, time.Second, 1)
+			if denial == nil || !denial.Over || time.Since(began) > 500*time.Millisecond {
+				t.Errorf("%+v after %v", denial, time.Since(began))
+			}
+			if n := f.hosts[0].q.counts.asked.Value() - asked; n > 5 {
+				t.Errorf("asked %d times", n)
+			}
+		}
+	})
+}
--- a/quota/view.go
+++ b/quota/view.go
@@ -131,8 +131,17 @@
 	if !ok || 2*z.alive < len(z.present) {
 		return "", zone, false
 	}
-	if 2*z.alive == len(z.present) {
-		// Of two halves, the one with the highest-ranked host of all grants.
+	if 2*z.alive > len(z.present) {
+		return host, zone, true
+	}
+	// Of two halves of a zone, the one grants that sees most hosts of all zones. If both see half of
+	// them, too, it is the one with the highest-ranked host.
+	alive, present := 0, 0
+	for _, other := range v.byZone {
+		alive, present = alive+other.alive, present+len(other.present)
+	}
+	ok = 2*alive > present
+	if 2*alive == present {
 		all := slices.Clone(z.present)
 		for i := range all {
 			all[i].State = domain.MemberAlive
