--- a/internal/membudget/hold.go
+++ b/internal/membudget/hold.go
@@ -29,6 +29,9 @@
 	return true
 }
 
+// Limited reports whether the hold belongs to a budget with a limit.
+func (h *Hold) Limited() bool { return h != nil && h.budget != nil && h.budget.Limited() }
+
 // Refused counts a claim that was given up for lack of room.
 func (h *Hold) Refused(use Use) {
 	if h != nil && h.budget != nil {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -191,7 +191,7 @@
 		return true
 	}
 	switch limited := b.Limited(); {
-	case c.Size <= SmallBytes && limited, c.Use != Responses && !limited:
+	case c.Size <= SmallBytes, c.Use != Responses && !limited:
 		b.add(c.Use, n)
 		return true
 	case limited && b.held.Load()+b.garbage.Load()+n > b.Total()+b.maxGarbage():
