review: case 10, a stream goes on at another engine while the first one still runs it

Cause: a host that meets a spoiled event closes the connection and goes on elsewhere at once. An engine that does not drop requests of closed connections works on.

--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -228,3 +228,51 @@
 	c.record.say("%d of %d streams that clients sent within config_apply_ms after the SIGHUP of their host were broken off by the host, while their engines were silent and would have gone on", lost, len(c.clients.all))
 	return lost > 0
 }
+
+const (
+	// dropTime is how long an engine may still work on a request that goes on at another one.
+	dropTime = 400 * time.Millisecond
+	// streamsPerSecond is the rate of the streams of all clients, as on the sheet.
+	streamsPerSecond = 10
+	spoiledTime      = 24 * time.Second
+)
+
+// twoEngines lets two of four decode engines spoil some of their answers. One of the four does not drop a request
+// when its connection closes. It judges TWICE.
+func twoEngines(c *lab) bool {
+	engines := c.withEngines()
+	extra := newEngine(c, "e-5", zones[0], "decode")
+	extra.serve(c)
+	for _, e := range []*engine{engines[3], extra} {
+		if c.trouble {
+			e.spoilEach = 20
+		}
+	}
+	extra.keeps = true
+	c.setUp(9)
+	var streams sync.WaitGroup
+	for i := range int(spoiledTime.Seconds()) * streamsPerSecond {
+		streams.Go(func() {
+			time.Sleep(time.Until(c.record.start.Add(time.Duration(i) * time.Second / streamsPerSecond)))
+			k := &client{lab: c, host: c.hosts[i%len(c.hosts)], allowed: draftTimeout}
+			defer k.close()
+			k.call(http.MethodPost, "/drafts/notes", fmt.Sprintf("passage %d", i), "Greengagespoke-Model: m", "Greengagespoke-Token-Count: 3000,400",
+				fmt.Sprintf("Greengagespoke-Prompt-Prefix: 5c1e07a2:200,e4402b7%d:2800", i))
+		})
+	}
+	streams.Wait()
+	time.Sleep(ms(2000))
+	c.spans.mu.Lock()
+	defer c.spans.mu.Unlock()
+	before := make(map[string]*span)
+	twice := 0
+	for _, n := range c.spans.all {
+		if b := before[n.id]; b != nil && b.engine != n.engine && b.stopped.Sub(n.begun) > dropTime+slack {
+			twice++
+			c.record.noteAt(n.begun, "TWICE    %s goes on at engine %s; engine %s works on it for %.3f s more", n.id, n.engine, b.engine, b.stopped.Sub(n.begun).Seconds())
+		}
+		before[n.id] = n
+	}
+	c.record.say("%d of %d streams went on at another engine while the one before worked on them for over 400 ms more", twice, len(c.clients.all))
+	return twice > 0
+}
--- a/review/lab2/engine.go
+++ b/review/lab2/engine.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -23,9 +24,12 @@
 	streamEvents = 30
 	// readTime is the time in which a prompt is read.
 	readTime = 100 * time.Millisecond
+	// spoilTime is how long engines spoil answers at a time, spoilPeriod the time from one begin to the next.
+	spoilTime   = 5500 * time.Millisecond
+	spoilPeriod = 6500 * time.Millisecond
 )
 
-// engine is a stand-in for a model worker. It drops a request when its connection closes.
+// engine is a stand-in for a model worker. It drops a request when its connection closes, unless keeps is set.
 type engine struct {
 	id, zone, stage string
 	born            time.Time
@@ -36,12 +40,43 @@
 	// the time until it has room again and goes on.
 	preemptAfter int
 	preempted    time.Duration
+	keeps        bool
+	// spoilEach is set if each so many answers are spoiled by bytes that are no event.
+	spoilEach int64
+	answers   atomic.Int64
+	spans     *spans
+}
+
+// span is one run of a request by an engine.
+type span struct {
+	id, engine     string
+	begun, stopped time.Time
+}
+
+// spans holds the runs of all engines.
+type spans struct {
+	mu  sync.Mutex
+	all []*span
+}
+
+func (s *spans) begin(id, engine string) *span {
+	n := &span{id: id, engine: engine, begun: time.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, n)
+	return n
+}
+
+func (s *spans) stop(n *span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n.stopped = time.Now()
 }
 
 func newEngine(c *lab, id, zone, stage string) *engine {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
-	e := &engine{id: id, zone: zone, stage: stage, born: time.Now(), listener: listener, record: c.record}
+	e := &engine{id: id, zone: zone, stage: stage, born: time.Now(), listener: listener, record: c.record, spans: &c.spans}
 	return e
 }
 
@@ -121,19 +156,33 @@
 	w.Header().Set("Greengagespoke-Weight-Versions", "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
+	run := e.spans.begin(id, e.id)
+	defer e.spans.stop(run)
+	ctx := r.Context()
+	if e.keeps {
+		ctx = context.Background()
+	}
+	spoiling := e.spoilEach > 0 && e.record.since(time.Now())%spoilPeriod < spoilTime
+	spoils := spoiling && e.answers.Add(1)%e.spoilEach == 0
 	made := 0
 	for n := last + 1; n <= streamEvents; n++ {
-		if !wait(r.Context(), eventGap) {
+		if !wait(ctx, eventGap) {
 			e.record.note("dropped  %s by engine %s, as its connection has closed", id, e.id)
 			return
 		}
 		if made++; e.preemptAfter > 0 && made == e.preemptAfter+1 {
 			e.record.note("preempt  %s by engine %s, for %s", id, e.id, e.preempted)
-			if !wait(r.Context(), e.preempted) {
+			if !wait(ctx, e.preempted) {
 				e.record.note("dropped  %s by engine %s, as its connection has closed", id, e.id)
 				return
 			}
 		}
+		if spoils && made == 5 {
+			e.record.note("spoil    %s by engine %s, at event %d", id, e.id, n)
+			_, _ = fmt.Fprintf(w, "id: %d\n\x00\x13 spoiled\n\n", n)
+			_ = control.Flush()
+			continue
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, id)
 		_ = control.Flush()
 	}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -32,6 +32,7 @@
 	hosts        []*host
 	clients      clients
 	runs         runs
+	spans        spans
 
 	mu      sync.Mutex
 	workers []*worker
@@ -49,6 +50,7 @@
 	"silent-config": silentConfig,
 	"late-crash":    lateCrash,
 	"silent-worker": silentWorker,
+	"two-engines":   twoEngines,
 }
 
 func main() {
