review: names on the wire come from platform/wire or a file

Change: the stand-ins take the names from platform/wire, and the others from fields.json. What they do is as before.

--- a/review/lab2/cases.go
+++ b/review/lab2/cases.go
@@ -173,13 +173,13 @@
 // withEngines adds the service of the engines and its route, as on the sheet, and starts the engines.
 func (c *lab) withEngines() []*engine {
 	c.routes = []any{map[string]any{
-		"name": "drafts", "host": callerName, "prefix": "/drafts/", "kind": "streaming", "timeout_ms": draftTimeout.Milliseconds(), "target_latency_ms": 1000,
-		"priority": 1, "service": drafting, "max_attempts": 2, "sticky": true, "can_resume": true, "gap_target_ms": 300,
+		"name": "drafts", "host": callerName, "prefix": "/drafts/", "kind": "streaming", "timeout_ms": draftTimeout.Milliseconds(), field("target"): 1000,
+		"priority": 1, "service": drafting, field("attempts"): 2, "sticky": true, "can_resume": true, "gap_target_ms": 300,
 	}}
 	c.services = []any{map[string]any{
 		"name": drafting, "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false, "engine": map[string]any{
 			"slots": engineSlots, "kv_capacity_tokens": engineTokens, "kv_token_bytes": 18432, "link_mbps": 550000.0, "moves": true, "backups": true,
-			"stride": 13, "most": 12, "kv_hold_s": 0.5, "stage_switch_s": 6.0, "pin_ms": 4000.0, "hold_ms": 2000.0, "models": []any{map[string]any{"name": "m"}},
+			"stride": 13, "most": 12, field("handle life"): 0.5, "stage_switch_s": 6.0, "pin_ms": 4000.0, "hold_ms": 2000.0, "models": []any{map[string]any{"name": "m"}},
 		},
 	}}
 	engines := []*engine{
@@ -211,8 +211,7 @@
 				time.Sleep(ms(500 + 100*i))
 				k := &client{lab: c, host: h, allowed: draftTimeout}
 				defer k.close()
-				k.call(http.MethodPost, "/drafts/notes", fmt.Sprintf("passage %d", i), "Greengagespoke-Model: m", "Greengagespoke-Token-Count: 3000,400",
-					fmt.Sprintf("Greengagespoke-Prompt-Prefix: 5c1e07a2:200,e4402b7%d:2800", i))
+				k.draft(i)
 			})
 		}
 	}}})
@@ -256,8 +255,7 @@
 			time.Sleep(time.Until(c.record.start.Add(time.Duration(i) * time.Second / streamsPerSecond)))
 			k := &client{lab: c, host: c.hosts[i%len(c.hosts)], allowed: draftTimeout}
 			defer k.close()
-			k.call(http.MethodPost, "/drafts/notes", fmt.Sprintf("passage %d", i), "Greengagespoke-Model: m", "Greengagespoke-Token-Count: 3000,400",
-				fmt.Sprintf("Greengagespoke-Prompt-Prefix: 5c1e07a2:200,e4402b7%d:2800", i))
+			k.draft(i)
 		})
 	}
 	streams.Wait()
--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"greengagespoke/platform/wire"
 )
 
 // sent is one request of a client.
@@ -54,7 +56,7 @@
 		}
 		k.conn, k.reader = conn, bufio.NewReader(conn)
 	}
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nGreengagespoke-Request-Id: %s\r\nGreengagespoke-Deadline-Ms: %d\r\n", method, path, callerName, s.id, k.allowed.Milliseconds())
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, callerName, wire.HeaderRequestID, s.id, wire.HeaderDeadline, k.allowed.Milliseconds())
 	if method != http.MethodGet {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
@@ -92,6 +94,12 @@
 	return s
 }
 
+// draft asks for the draft of a passage.
+func (k *client) draft(passage int) *sent {
+	return k.call(http.MethodPost, "/drafts/notes", fmt.Sprintf("passage %d", passage), field("model")+": m", wire.HeaderTokenCount+": 3000,400",
+		fmt.Sprintf("%s: 5c1e07a2:200,e4402b7%d:2800", wire.HeaderPromptParts, passage))
+}
+
 func (k *client) close() {
 	if k.conn != nil {
 		_ = k.conn.Close()
--- a/review/lab2/engine.go
+++ b/review/lab2/engine.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"greengagespoke/platform/wire"
 )
 
 // Figures of the engines, as on the sheet.
@@ -85,7 +87,7 @@
 	go func() { _ = (&http.Server{Handler: e, ReadHeaderTimeout: time.Minute}).Serve(e.listener) }()
 	c.store.put("servers", e.id, map[string]any{
 		"service": drafting, "address": e.listener.Addr().String(), "zone": e.zone, "version": "v1", "slots": engineSlots, "state": "ready",
-		"cold_left_ms": 0, "stage": e.stage, "models": e.models(), "seq": 0, "born": e.born.UnixMilli(),
+		field("cold"): 0, "stage": e.stage, "models": e.models(), "seq": 0, "born": e.born.UnixMilli(),
 	})
 	c.record.note("store    has engine %s (%s) as ready", e.id, e.stage)
 }
@@ -98,7 +100,7 @@
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header()["Date"] = nil
 	w.Header().Set("Keep-Alive", "timeout=5")
-	if expected := r.Header.Get("Greengagespoke-Expect-Instance"); expected != "" && expected != e.id {
+	if expected := r.Header.Get(wire.HeaderExpectInstance); expected != "" && expected != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -108,29 +110,29 @@
 	}
 	switch {
 	case r.URL.Path == "/healthz":
-		w.Header().Set("Greengagespoke-Instance-Id", e.id)
-	case r.URL.Path == "/-/report":
+		w.Header().Set(field("instance"), e.id)
+	case r.URL.Path == wire.PathReport:
 		answer(w, http.StatusOK, map[string]any{
 			"stage": e.stage, "models": e.models(), "busy": false, "seq": 0, "queued": 0, "running": 0, "kv_used": 0, "kv_total": engineTokens,
-			"kv_handles": 0, "born": e.born.UnixMilli(),
+			field("handles"): 0, "born": e.born.UnixMilli(),
 		})
-	case r.URL.Path == "/-/hold-take":
+	case r.URL.Path == wire.PathReserve:
 		answer(w, http.StatusOK, map[string]any{"hold": fmt.Sprintf("%s-%x", e.id, e.next.Add(1))})
-	case r.URL.Path == "/-/order":
+	case r.URL.Path == wire.PathOrder:
 		var order struct {
 			Stage string `json:"stage"`
 		}
 		check(json.Unmarshal(body, &order))
 		w.WriteHeader(http.StatusOK) // It is balanced, so that none is expected.
 		e.record.note("order    to %s: %s", e.id, order.Stage)
-	case strings.HasPrefix(r.URL.Path, "/-/"):
+	case strings.HasPrefix(r.URL.Path, ownPaths):
 		answer(w, http.StatusOK, map[string]any{})
-	case (r.Header.Get("Greengagespoke-Stage") == "prefill") != (e.stage == "prefill"):
+	case (r.Header.Get(wire.HeaderStage) == "prefill") != (e.stage == "prefill"):
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	case e.stage == "prefill":
 		time.Sleep(readTime)
-		w.Header().Set("Greengagespoke-Request-Id", r.Header.Get("Greengagespoke-Request-Id"))
-		answer(w, http.StatusOK, map[string]any{"kv_handle": fmt.Sprintf("%x", e.next.Add(1)), "tokens": 3000, "version": 1})
+		w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
+		answer(w, http.StatusOK, map[string]any{field("handle"): fmt.Sprintf("%x", e.next.Add(1)), "tokens": 3000, "version": 1})
 	default:
 		e.stream(w, r)
 	}
@@ -148,12 +150,12 @@
 
 // stream runs a request.
 func (e *engine) stream(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Greengagespoke-Request-Id")
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	id := r.Header.Get(wire.HeaderRequestID)
+	last, _ := strconv.Atoi(r.Header.Get(wire.HeaderLastEventID))
 	e.record.note("run      %s at engine %s, after event %d", id, e.id, last)
-	w.Header().Set("Greengagespoke-Request-Id", id)
-	w.Header().Set("Greengagespoke-Server-Seal", fmt.Sprintf("%x.01.%s", e.born.UnixMilli(), id))
-	w.Header().Set("Greengagespoke-Weight-Versions", "1")
+	w.Header().Set(wire.HeaderRequestID, id)
+	w.Header().Set(wire.HeaderSeal, fmt.Sprintf("%x.01.%s", e.born.UnixMilli(), id))
+	w.Header().Set(field("weights"), "1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	run := e.spans.begin(id, e.id)
--- a/review/lab2/host.go
+++ b/review/lab2/host.go
@@ -12,6 +12,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"greengagespoke/platform/wire"
 )
 
 // host is one process of the deploy file's role.
@@ -129,7 +131,7 @@
 func (h *host) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	defer client.CloseIdleConnections()
-	resp, err := client.Get("http://" + h.ready + "/-/ready")
+	resp, err := client.Get("http://" + h.ready + wire.PathReady)
 	if err != nil {
 		return false
 	}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -126,8 +126,8 @@
 func (c *lab) configure(version, timeout int, loopService string) {
 	route := func(name, prefix, kind, service string, attempts int) map[string]any {
 		return map[string]any{
-			"name": name, "host": callerName, "prefix": prefix, "kind": kind, "timeout_ms": timeout, "target_latency_ms": 120, "priority": 2,
-			"service": service, "max_attempts": attempts, "sticky": false, "can_resume": false,
+			"name": name, "host": callerName, "prefix": prefix, "kind": kind, "timeout_ms": timeout, field("target"): 120, "priority": 2,
+			"service": service, field("attempts"): attempts, "sticky": false, "can_resume": false,
 		}
 	}
 	service := func(name string) map[string]any {
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"greengagespoke/platform/wire"
 )
 
 // row is a row of the metadata store, as PROTOCOL.md describes it.
@@ -20,7 +22,7 @@
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
-// store is a stand-in for the platform's metadata store. It serves rows-tx, rows-get and rows-feed.
+// store is a stand-in for the platform's metadata store. It serves transactions, reads of a table and reads of changes.
 type store struct {
 	started time.Time
 
@@ -80,23 +82,17 @@
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method + " " + r.URL.Path {
-	case "POST /-/rows-tx":
+	case "POST " + wire.PathTransaction:
 		s.transaction(w, r)
-	case "GET /-/rows-get":
+	case "GET " + wire.PathRange:
 		s.get(w, r)
-	case "GET /-/rows-feed":
+	case "GET " + wire.PathFeed:
 		s.feed(w, r)
 	default:
 		http.NotFound(w, r)
 	}
 }
 
-type transaction struct {
-	Expected []row `json:"expected_rev"`
-	Writes   []row `json:"writes"`
-	Remove   []row `json:"remove"`
-}
-
 type rowsAnswer struct {
 	Rows      []row `json:"rows"`
 	Truncated bool  `json:"truncated"`
@@ -105,7 +101,7 @@
 }
 
 func (s *store) transaction(w http.ResponseWriter, r *http.Request) {
-	var tx transaction
+	var tx wire.Transaction
 	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -135,11 +131,11 @@
 	}
 	s.version++
 	for _, c := range tx.Writes {
-		s.apply(c)
+		s.apply(row(c))
 	}
 	for _, c := range tx.Remove {
 		c.Deleted = true
-		s.apply(c)
+		s.apply(row(c))
 	}
 	s.notify()
 	answer(w, http.StatusOK, rowsAnswer{Rows: []row{}, Version: s.version, Now: s.nowMillis()})
--- a/review/lab2/worker.go
+++ b/review/lab2/worker.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"greengagespoke/platform/wire"
 )
 
 // run is one request that reached a worker and was not rejected.
@@ -72,7 +74,7 @@
 func (w *worker) entry(state string) map[string]any {
 	return map[string]any{
 		"service": w.service, "address": w.listener.Addr().String(), "zone": w.zone, "version": "v1", "slots": workerSlots,
-		"state": state, "cold_left_ms": 0, "seq": 1, "born": w.born.UnixMilli(),
+		"state": state, field("cold"): 0, "seq": 1, "born": w.born.UnixMilli(),
 	}
 }
 
@@ -86,17 +88,17 @@
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	rw.Header()["Date"] = nil
 	rw.Header().Set("Keep-Alive", "timeout=5")
-	if strings.HasPrefix(r.URL.Path, "/-/") {
+	if strings.HasPrefix(r.URL.Path, ownPaths) {
 		http.NotFound(rw, r)
 		return
 	}
-	rw.Header().Set("Greengagespoke-Instance-Id", w.id)
+	rw.Header().Set(field("instance"), w.id)
 	if r.URL.Path == "/healthz" {
 		return
 	}
-	id := r.Header.Get("Greengagespoke-Request-Id")
-	rw.Header().Set("Greengagespoke-Request-Id", id)
-	if expected := r.Header.Get("Greengagespoke-Expect-Instance"); expected != "" && expected != w.id {
+	id := r.Header.Get(wire.HeaderRequestID)
+	rw.Header().Set(wire.HeaderRequestID, id)
+	if expected := r.Header.Get(wire.HeaderExpectInstance); expected != "" && expected != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -130,7 +132,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	body := fmt.Sprintf("%s %s %s\n", w.service, w.id, id) + strings.Repeat("x", 760)
-	rw.Header().Set("Greengagespoke-Server-Seal", fmt.Sprintf("%x.01.%x.%d.0.%s", w.born.UnixMilli(), len(body), len(body), id))
+	rw.Header().Set(wire.HeaderSeal, fmt.Sprintf("%x.01.%x.%d.0.%s", w.born.UnixMilli(), len(body), len(body), id))
 	rw.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = io.WriteString(rw, body)
 	n.ended = time.Now()
