review: the ports of a host differ for certain

Cause: once in some sixty runs a host was not ready and the case exited with 2: the ports were freed one by one, so that two of a host could be the same; not traced further. Change: all four are held before they are freed, and what the host logged is printed.

--- a/review/lab2/host.go
+++ b/review/lab2/host.go
@@ -45,12 +45,16 @@
 	}
 }
 
-// freePort returns a port that is free at an IP number.
-func freePort(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+// freePorts returns addresses with different ports that are free at an IP number.
+func freePorts(ip string, n int) []string {
+	var addresses []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		check(err)
+		defer func() { _ = l.Close() }()
+		addresses = append(addresses, l.Addr().String())
+	}
+	return addresses
 }
 
 // newHosts writes the settings of the hosts. Each has a loopback IP number and a way to the store of its
@@ -68,7 +72,8 @@
 			name: fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], i/len(zones)+1), zone: zones[i%len(zones)],
 			ip: fmt.Sprintf("127.%d.%d.%d", 20+pid%200, pid/200%250, i+1), store: newProxy(c.storeAddress),
 		}
-		h.front, h.ready, h.control, h.directory = freePort(h.ip), freePort(h.ip), freePort(h.ip), freePort(h.ip)
+		ports := freePorts(h.ip, 4)
+		h.front, h.ready, h.control, h.directory = ports[0], ports[1], ports[2], ports[3]
 		h.settings, h.log = filepath.Join(c.temp, h.name+".json"), filepath.Join(c.temp, h.name+".log")
 		hosts = append(hosts, h)
 		if len(seeds) < 3 {
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -183,7 +183,8 @@
 	for _, h := range c.hosts {
 		for !h.isReady() {
 			if time.Now().After(until) {
-				panic(h.name + " is not ready; see " + h.log)
+				text, _ := os.ReadFile(h.log)
+				panic(h.name + " is not ready:\n" + string(text[max(0, len(text)-2000):]))
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
