Responses with a status that HTTP does not have are no responses

Callers saw: an upstream sent a response with status 000; the host panicked ("invalid WriteHeader code 0"), and the caller of an idempotent request got a closed connection in place of a retry. Statuses of 600 to 999 were passed on as they were. A malformed status with the header of a rejection counted as word that the request had not run, and a transaction that the store answered so counted as one that failed in a known way.

Cause: http.ReadResponse takes any three characters that Atoi reads as 0 or more for a status ("000", "-00", "999"), and accepts other major versions, control bytes in the reason and runs of spaces. Its result was believed on all paths.

Change: internal/httpwire checks the bytes of each head as they are read from the connection, before net/http parses them, by the grammar of RFC 9112, section 4; the status must be one of 100 to 599 (RFC 9110, section 15). Hosts use it for connections to upstreams and other hosts; httplimit.Transport, which makes all other transports, uses it for those of net/http, where a hook of each request says that a head is due. Below TLS only what net/http returns is checked. A space missing before an empty reason is allowed, as is a line feed alone.

Why it works: a malformed head is an error of reading, so that each path treats it as a broken connection: the request may have run, send-once work is not sent again, idempotent work goes to another upstream.

TestCountersMatchTheConnection names the new type of the transport.

--- a/adapters/peerrpc/traffic_test.go
+++ b/adapters/peerrpc/traffic_test.go
@@ -12,6 +12,7 @@
 
 	"greengagespoke/counters"
 	"greengagespoke/domain"
+	"greengagespoke/internal/httplimit"
 	"greengagespoke/ports"
 )
 
@@ -38,7 +39,7 @@
 func TestCountersMatchTheConnection(t *testing.T) {
 	peers, sent, served := startPeer(t, &fakeHost{}, testKey)
 	var read, written atomic.Int64
-	transport := newDefaultHTTPClient().Transport.(*http.Transport)
+	transport := newDefaultHTTPClient().Transport.(*httplimit.RoundTripper)
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := new(net.Dialer).DialContext(ctx, network, address)
 		return meteredConn{conn, &read, &written}, err
--- a/adapters/upstreams/upstreams.go
+++ b/adapters/upstreams/upstreams.go
@@ -25,7 +25,7 @@
 // Set provides clients for upstreams. It implements ports.Upstreams and is safe
 // for concurrent use.
 type Set struct {
-	transport *http.Transport
+	transport *httplimit.RoundTripper
 
 	mu       sync.Mutex
 	engines  map[domain.UpstreamID]clientEntry[ports.Engine]
--- a/adapters/upstreams/upstreams_test.go
+++ b/adapters/upstreams/upstreams_test.go
@@ -1,9 +1,13 @@
 package upstreams
 
 import (
+	"errors"
+	"net/http"
 	"testing"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/endless"
+	"greengagespoke/ports"
 )
 
 func TestClientsFollowTheAddress(t *testing.T) {
@@ -22,3 +26,26 @@
 		t.Error("a second service client was made")
 	}
 }
+
+// Reported by operators: callers got what was no response of HTTP. The call may have run.
+func TestMalformedResponseOfAnUpstream(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 777 High\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		address, _ := endless.Serve(t, response, "")
+		set := New()
+		defer set.Close()
+		up := domain.Upstream{ID: "u-1", Address: address}
+		got, err := set.Service(up).Call(t.Context(), ports.ServiceRequest{Method: http.MethodPost, Path: "/x", Body: []byte("x")})
+		var failed *ports.ServiceError
+		if !errors.As(err, &failed) || !failed.Sent {
+			t.Errorf("%q: a service responded %+v, %v; want a call that may have run", response, got, err)
+		}
+		_, err = set.Engine(up).Prefill(t.Context(), ports.PrefillRequest{})
+		var broken *ports.EngineError
+		if !errors.As(err, &broken) || broken.Kind != ports.EngineUnreachable {
+			t.Errorf("%q: an engine responded %v; want an unreachable one", response, err)
+		}
+	}
+}
--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -1,18 +1,22 @@
 package httplimit_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
 	"greengagespoke/internal/endless"
 	"greengagespoke/internal/httplimit"
+	"greengagespoke/internal/httpwire"
 )
 
 func open(t *testing.T, address string) (*http.Response, error) {
@@ -72,3 +76,75 @@
 		t.Errorf("endless body: error %v, want ErrBodyTooLarge", err)
 	}
 }
+
+// malformedHeads are heads that HTTP does not allow.
+var malformedHeads = []string{
+	"HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\n{}",
+}
+
+// Reported by operators: clients got what was no response of HTTP. It is an error on a new connection
+// and on one that was used before.
+func TestMalformedResponses(t *testing.T) {
+	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for _, head := range malformedHeads {
+		for _, responses := range [][]string{{head}, {sound, head}} {
+			client := &http.Client{Transport: httplimit.Transport(&http.Transport{})}
+			address := serveInOrder(t, responses)
+			for i := range responses {
+				resp, err := client.Post("http://"+address, "", strings.NewReader("x")) //nolint:noctx // A call in a test needs no context.
+				if last := i == len(responses)-1; last != errors.Is(err, httpwire.ErrMalformed) {
+					t.Errorf("response %d, %q: error %v", i, responses[i], err)
+				}
+				if err == nil {
+					_, _ = io.Copy(io.Discard, resp.Body)
+					_ = resp.Body.Close()
+				}
+			}
+			client.CloseIdleConnections()
+		}
+	}
+}
+
+// serveInOrder answers the requests of one connection with the given bytes.
+func serveInOrder(t *testing.T, responses []string) (address string) {
+	t.Helper()
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		for _, response := range responses {
+			req, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, response)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Below TLS the bytes of a head are not seen, but what net/http returns of it is checked.
+func TestMalformedResponseOverTLS(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(777) }))
+	t.Cleanup(server.Close)
+	settings := server.Client().Transport.(*http.Transport).TLSClientConfig
+	client := &http.Client{Transport: httplimit.Transport(&http.Transport{TLSClientConfig: settings})}
+	resp, err := client.Get(server.URL) //nolint:noctx // A call in a test needs no context.
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	if !errors.Is(err, httpwire.ErrMalformed) {
+		t.Errorf("error %v, want ErrMalformed", err)
+	}
+}
--- /dev/null
+++ b/internal/httpwire/head.go
@@ -0,0 +1,126 @@
+// Package httpwire guards the client's end of HTTP/1 connections. net/http accepts more than
+// RFC 9110 and RFC 9112 allow; a response that they do not allow is an error here, as neither its
+// status nor its end is certain.
+package httpwire
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+var (
+	// ErrMalformed means that what a server sent is not a response of HTTP/1.
+	ErrMalformed = errors.New("the response is not one that HTTP allows; check what listens at the server's address")
+	// ErrHeadTooLarge means that a head is longer than this system reads.
+	ErrHeadTooLarge = errors.New("the head of the response is too large; check what listens at the server's address")
+)
+
+const (
+	// maxQuotedBytes bounds the part of a line that an error quotes.
+	maxQuotedBytes = 32
+	// minStatus and maxStatus bound the status codes of HTTP.
+	minStatus = 100
+	maxStatus = 599
+	// statusDigits is the number of digits of a status code.
+	statusDigits = 3
+)
+
+func malformed(format string, args ...any) error {
+	return fmt.Errorf("%w: "+format, append([]any{ErrMalformed}, args...)...)
+}
+
+// head checks the heads of a response, with those of the interim responses (1xx) before it, as
+// their bytes come.
+type head struct {
+	// left is the number of bytes that may still come.
+	left int
+	// line is what has come of the current line.
+	line []byte
+	// status is the status of the current head, 0 before its status line.
+	status int
+	ended  bool
+	err    error
+}
+
+// check takes the next bytes of the connection. It returns an error once they are no head. Bytes
+// behind the head are not looked at.
+func (h *head) check(p []byte) error {
+	for len(p) > 0 && !h.ended && h.err == nil {
+		end := bytes.IndexByte(p, '\n') + 1
+		part := p[:end]
+		if end == 0 {
+			part = p
+		}
+		p = p[len(part):]
+		if h.left -= len(part); h.left < 0 {
+			h.err = ErrHeadTooLarge
+			return h.err
+		}
+		if end == 0 || len(h.line) > 0 {
+			h.line = append(h.line, part...)
+			part = h.line
+		}
+		if end > 0 {
+			h.err = h.addLine(part)
+			h.line = h.line[:0]
+		}
+	}
+	return h.err
+}
+
+// addLine checks a line with its end. A line feed alone ends a line too (RFC 9112, section 2.2).
+func (h *head) addLine(line []byte) error {
+	line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+	switch {
+	case h.status == 0:
+		return h.setStatus(line)
+	case len(line) > 0:
+		return nil
+	}
+	h.ended = h.status/100 != 1
+	h.status = 0
+	return nil
+}
+
+// setStatus checks a status line (RFC 9112, section 4). The space before a reason that is empty may
+// be missing.
+func (h *head) setStatus(line []byte) error {
+	rest, isVersion := bytes.CutPrefix(line, []byte("HTTP/1."))
+	if !isVersion || len(rest) < 2 || !isDigit(rest[0]) || rest[1] != ' ' {
+		return malformed("the status line %.*q", maxQuotedBytes, line)
+	}
+	code, reason, _ := bytes.Cut(rest[2:], []byte(" "))
+	if len(code) != statusDigits || bytes.ContainsFunc(code, isNoDigit) || !isText(reason) {
+		return malformed("the status line %.*q", maxQuotedBytes, line)
+	}
+	for _, digit := range code {
+		h.status = 10*h.status + int(digit-'0')
+	}
+	return checkStatus(h.status)
+}
+
+func checkStatus(status int) error {
+	if status < minStatus || status > maxStatus {
+		return malformed("the status %03d", status)
+	}
+	return nil
+}
+
+// Check returns an error unless HTTP allows what net/http has read as the head of a response.
+func Check(resp *http.Response) error { return checkStatus(resp.StatusCode) }
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+func isNoDigit(r rune) bool { return r < '0' || r > '9' }
+
+// isText reports whether bytes may be in the value of a field or in a reason.
+func isText(text []byte) bool {
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
