Responses with field lines that HTTP does not allow are no responses

Callers saw: a response in whose head the name of a field held a blank was passed on as one. With a blank behind the name of the length, the body went on to the end of the connection; behind that of the transfer coding, it held the chunk sizes. A line that began with a blank was passed on as a part of the line before it. Control bytes in names and values were refused before.

Cause: textproto.ReadMIMEHeader accepts blanks within and behind names, which it leaves in a form that no later check finds, and joins folded lines. RFC 9112, section 5.1 forbids the first; section 5.2 has a gateway refuse a folded line or replace the fold.

Change: internal/httpwire checks each field line of a head, also those of interim responses: the name is a token, the value has no control bytes but tabs. A folded line is refused, as what the upstream meant by it is not certain. Below TLS only the names that net/http returns are checked.

Why it works: the check sees the bytes before net/http does, and a malformed line is an error of reading on all paths.

--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -82,6 +82,9 @@
 	"HTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\n{}",
 	"HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\n{}",
 	"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nX Odd: v\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nContent-Length : 1\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.1 200 OK\r\nX: v\r\n X-Odd: v\r\nContent-Length: 2\r\n\r\n{}",
 }
 
 // Reported by operators: clients got what was no response of HTTP. It is an error on a new connection
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 var (
@@ -77,7 +78,7 @@
 	case h.status == 0:
 		return h.setStatus(line)
 	case len(line) > 0:
-		return nil
+		return checkField(line)
 	}
 	h.ended = h.status/100 != 1
 	h.status = 0
@@ -108,13 +109,38 @@
 	return nil
 }
 
+// checkField checks a field line (RFC 9112, section 5). A folded line, which begins with white space,
+// is none: a gateway may refuse the response then (section 5.2).
+func checkField(line []byte) error {
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	if !hasColon || !isToken(string(name)) || !isText(value) {
+		return malformed("the field line %.*q", maxQuotedBytes, line)
+	}
+	return nil
+}
+
 // Check returns an error unless HTTP allows what net/http has read as the head of a response.
-func Check(resp *http.Response) error { return checkStatus(resp.StatusCode) }
+func Check(resp *http.Response) error {
+	for name := range resp.Header {
+		if !isToken(name) {
+			return malformed("the field name %.*q", maxQuotedBytes, name)
+		}
+	}
+	return checkStatus(resp.StatusCode)
+}
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
 func isNoDigit(r rune) bool { return r < '0' || r > '9' }
 
+// isToken reports whether a text may be the name of a field (RFC 9110, section 5.6.2).
+func isToken(text string) bool {
+	return text != "" && !strings.ContainsFunc(text, func(r rune) bool {
+		isLetter := 'a' <= r|0x20 && r|0x20 <= 'z'
+		return !isLetter && isNoDigit(r) && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+	})
+}
+
 // isText reports whether bytes may be in the value of a field or in a reason.
 func isText(text []byte) bool {
 	for _, c := range text {
--- a/internal/httpwire/head_test.go
+++ b/internal/httpwire/head_test.go
@@ -31,6 +31,7 @@
 		"HTTP/1.1 299 Odd\treason \xe9\r\n\r\n",
 		"HTTP/1.1 599 Highest\r\n\r\n",
 		"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+		"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: v\r\nX:\r\nX-Text:\t caf\xe9 \x80 a:b \r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 404 Not Found\r\n\r\n",
 	} {
 		for _, size := range []int{1, 2, 7, len(text)} {
@@ -48,6 +49,12 @@
 		"HTTP/2.0 200 OK\r\n", "HTTP/0.9 200 OK\r\n", "HTTP/1.x 200 OK\r\n", "HTTP/1.10 200 OK\r\n", "http/1.1 200 OK\r\n", "ICY 200 OK\r\n",
 		"HTTP/1.1 200 O\x00K\r\n", "HTTP/1.1 200 OK\r\r\n", "HTTP/1.1\r\n", "\r\n", "\r\nHTTP/1.1 200 OK\r\n", "ok\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n",
+		"HTTP/1.1 200 OK\r\nX Odd: v\r\n", "HTTP/1.1 200 OK\r\nX-Odd : v\r\n", "HTTP/1.1 200 OK\r\n X-Odd: v\r\n",
+		"HTTP/1.1 200 OK\r\nX: v\r\n folded\r\n", "HTTP/1.1 200 OK\r\nX: v\r\n\tX-Odd: v\r\n", "HTTP/1.1 200 OK\r\nX: v\r\n \r\n",
+		"HTTP/1.1 200 OK\r\nX\x00: v\r\n", "HTTP/1.1 200 OK\r\nX\x1fY: v\r\n", "HTTP/1.1 200 OK\r\nX\x7f: v\r\n", "HTTP/1.1 200 OK\r\nX\t: v\r\n",
+		"HTTP/1.1 200 OK\r\nX\xe9: v\r\n", "HTTP/1.1 200 OK\r\nX(Y): v\r\n", "HTTP/1.1 200 OK\r\nX{: v\r\n", "HTTP/1.1 200 OK\r\n: v\r\n",
+		"HTTP/1.1 200 OK\r\nno colon\r\n", "HTTP/1.1 200 OK\r\nX: a\x00b\r\n", "HTTP/1.1 200 OK\r\nX: a\rb: c\r\n", "HTTP/1.1 200 OK\r\nX: v\r\r\n",
+		"HTTP/1.1 103 Early Hints\r\nX Odd: v\r\n",
 	} {
 		for _, size := range []int{1, 2, 7, len(text)} {
 			if _, err := checkHead(text, size); !errors.Is(err, ErrMalformed) {
--- a/platformentry/malformed_test.go
+++ b/platformentry/malformed_test.go
@@ -11,6 +11,18 @@
 var malformedReplies = map[string]func(response string) string{
 	"status-000": func(response string) string { return strings.Replace(response, " 200 ", " 000 ", 1) },
 	"status-777": func(response string) string { return strings.Replace(response, " 200 ", " 777 ", 1) },
+	"blank-in-a-name": func(response string) string {
+		return strings.Replace(response, "\r\n\r\n", "\r\nX Odd: v\r\n\r\n", 1)
+	},
+	"control-byte-in-a-name": func(response string) string {
+		return strings.Replace(response, "\r\n\r\n", "\r\nX\x01Odd: v\r\n\r\n", 1)
+	},
+	"blank-before-a-name": func(response string) string {
+		return strings.Replace(response, "\r\nContent-Type:", "\r\n X-Odd: v\r\nContent-Type:", 1)
+	},
+	"blank-behind-the-name-of-the-length": func(response string) string {
+		return strings.Replace(response, "Content-Length:", "Content-Length :", 1) + "more"
+	},
 }
 
 // Reported by operators: callers got what a failing upstream sent though it was no response of HTTP.
