A response without a length that ends in a reset is not whole

Callers saw: an upstream responded to a long upload at once, with a 200 without a length, sent a part of its body and reset the connection while the upload was being written. The caller got the part as a whole response, from plain calls, streams and prompts alike.

Cause: the kernel reports a reset once, to the read or the write that asks first, and from then on the other one gets the end of the data or EPIPE. Where the write of the upload was told of the reset, the read returned io.EOF, which ends a response without a length.

Change: httpwire.Conn keeps the first error of writing a request. When the data ends, it ends a write that is under way, so that its error is known, and returns io.EOF only if no write was told of a reset. EPIPE as the first error means that the server had ended the connection in order before. As all clients use Conn, that holds for upstreams, other hosts and the store alike.

Nothing is guessed from times.

Uploads that fit the buffers of the connection were handled before, as were responses whose length or last chunk had come (TestEarlyResponseWithALengthOrChunks): these are delivered however the connection ends.

--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"greengagespoke/internal/abrupt"
 	"greengagespoke/internal/endless"
 	"greengagespoke/internal/httplimit"
 	"greengagespoke/internal/httpwire"
@@ -151,3 +152,27 @@
 		t.Errorf("error %v, want ErrMalformed", err)
 	}
 }
+
+// Reported by operators: a server responded to a long upload at once, without a length, sent a part of
+// the body and reset the connection while the upload was being written. The part was taken for the whole.
+func TestResponseThatIsResetDuringTheUploadIsNotWhole(t *testing.T) {
+	client := &http.Client{Transport: httplimit.Transport(&http.Transport{})}
+	for ending, inOrder := range abrupt.Endings {
+		if inOrder {
+			continue
+		}
+		address := abrupt.Serve(t, func(*http.Request) (string, abrupt.Ending) { return "HTTP/1.1 200 OK\r\n\r\npart", ending })
+		for _, upload := range []int{20 << 10, 1 << 20, 16 << 20} {
+			for range 5 {
+				resp, err := client.Post("http://"+address, "", bytes.NewReader(make([]byte, upload))) //nolint:noctx // A call in a test needs no context.
+				if err == nil {
+					_, err = io.ReadAll(resp.Body)
+					_ = resp.Body.Close()
+				}
+				if err == nil {
+					t.Errorf("%s, upload of %d bytes: a whole response", ending, upload)
+				}
+			}
+		}
+	}
+}
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -1,8 +1,14 @@
 package httpwire
 
 import (
+	"errors"
+	"fmt"
+	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
+	"time"
 )
 
 // Conn is the client's end of a connection that carries one request at a time.
@@ -12,6 +18,10 @@
 	mu sync.Mutex
 	// head is that of the response that is due, or nil.
 	head *head
+
+	// writing is held while a part of a request is written. It guards writeErr, the first error of that.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // NewConn returns the client's end of a connection.
@@ -25,9 +35,40 @@
 	c.head = &head{left: maxHeadBytes}
 }
 
-// Read implements net.Conn. It returns nothing of a response whose head is malformed.
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (n int, err error) {
+	err = c.write(func() error {
+		n, err = c.Conn.Write(p)
+		return err
+	})
+	return n, err
+}
+
+// WriteBuffers writes several buffers at once.
+func (c *Conn) WriteBuffers(buffers net.Buffers) error {
+	return c.write(func() error {
+		_, err := buffers.WriteTo(c.Conn)
+		return err
+	})
+}
+
+func (c *Conn) write(write func() error) error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	err := write()
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	return err
+}
+
+// Read implements net.Conn. It returns nothing of a response whose head is malformed, and io.EOF
+// only if the server has ended the connection in order.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
 	if checkErr := c.check(p[:n]); checkErr != nil {
 		return 0, checkErr
 	}
@@ -46,3 +87,24 @@
 	}
 	return err
 }
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
+// endError returns the error for the end of what the server sent. The kernel reports a reset once, to
+// the read or the write that asks first, and ends the data for the other one. A write under way is
+// ended, so that it returns the reset if it was told of one; the request is of no use after the end of
+// the response. EPIPE means that the server had ended the connection in order before, whatever came
+// then.
+func (c *Conn) endError() error {
+	if !c.writing.TryLock() {
+		_ = c.SetWriteDeadline(past) // Fails only if the connection is closed, which ends the write too.
+		c.writing.Lock()
+	}
+	defer c.writing.Unlock()
+	err := c.writeErr
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return io.EOF
+	}
+	return fmt.Errorf("the connection broke while the request was written: %w", err)
+}
