memnet: a reset is reported once, as by the kernel

Connections in memory reported a reset to each read and write. The fault that broken answers came from (a write takes the report, and the read sees the end of the data) could not show in virtual time. Now the first read or write is told, and a peer that ended what it sends before it closed gives EPIPE and the end of the data, as measured on loopback.

TestResetIsReportedOnce fails on the code before.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -26,9 +26,9 @@
 	local, remote net.Addr
 	// received holds what the peer has sent and this end has not read.
 	received []byte
-	// closed says that this end is closed, ended that it sends nothing more, and broken that the
-	// peer has reset the connection.
-	closed, ended, broken bool
+	// closed says that this end is closed, ended that it sends nothing more, broken that the peer has
+	// reset the connection, and told that a read or write has returned that.
+	closed, ended, broken, told bool
 	// resets says that closing resets the connection.
 	resets      bool
 	read, write deadline
@@ -87,9 +87,9 @@
 			c.received = c.received[n:]
 			c.wire.changed.Broadcast()
 			return n, nil
-		case c.broken:
+		case c.breaks():
 			return 0, failure("read", c.remote, syscall.ECONNRESET)
-		case c.peer.ended:
+		case c.broken || c.peer.ended:
 			return 0, io.EOF
 		}
 		c.wire.changed.Wait()
@@ -106,9 +106,9 @@
 			return written, failure("write", c.remote, net.ErrClosed)
 		case c.write.passed():
 			return written, failure("write", c.remote, os.ErrDeadlineExceeded)
-		case c.broken:
+		case c.breaks():
 			return written, failure("write", c.remote, syscall.ECONNRESET)
-		case c.ended || c.peer.closed:
+		case c.ended || c.broken || c.peer.closed:
 			return written, failure("write", c.remote, syscall.EPIPE)
 		}
 		n := min(len(p)-written, window-len(c.peer.received))
@@ -124,14 +124,23 @@
 	}
 }
 
-// Close implements net.Conn. As with TCP, the peer sees a reset if this end has not read all.
+// breaks reports whether this read or write is the one that is told of a reset. As with the kernel,
+// later ones see the end of the data and EPIPE.
+func (c *conn) breaks() bool {
+	first := c.broken && !c.told
+	c.told = c.told || first
+	return first
+}
+
+// Close implements net.Conn. As with TCP, the peer sees a reset if this end has not read all, unless
+// it had ended what it sends before.
 func (c *conn) Close() error {
 	c.wire.mu.Lock()
 	defer c.wire.mu.Unlock()
 	if c.closed {
 		return failure("close", c.remote, net.ErrClosed)
 	}
-	c.peer.broken = c.peer.broken || c.resets || len(c.received) > 0
+	c.peer.broken = c.peer.broken || !c.ended && (c.resets || len(c.received) > 0)
 	c.closed, c.ended, c.received = true, true, nil
 	c.read.set(time.Time{}, c.wire)
 	c.write.set(time.Time{}, c.wire)
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -85,6 +85,31 @@
 	}
 }
 
+// The kernel reports a reset once, to the read or the write that asks first, and none if the peer has
+// ended what it sends before.
+func TestResetIsReportedOnce(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			near, far := connected(t)
+			_, _ = near.Write([]byte("not read"))
+			if ended {
+				_ = far.(interface{ CloseWrite() error }).CloseWrite()
+			}
+			_ = far.Close()
+			want := error(syscall.ECONNRESET)
+			if ended {
+				want = syscall.EPIPE
+			}
+			if _, err := near.Write([]byte("more")); !errors.Is(err, want) {
+				t.Errorf("ended %t: the write got %v, want %v", ended, err, want)
+			}
+			if _, err := near.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+				t.Errorf("ended %t: the read got %v, want the end of the data", ended, err)
+			}
+		})
+	}
+}
+
 func TestDeadlineEndsAWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		near, _ := connected(t)
