Responses with framing that HTTP forbids are no responses

An interim response or a 204 that declared a body was taken as if it had none, so that the bytes of that body stood where the next response was due. A response with both a length and chunks was read by the chunks alone.

Cause: net/http drops Transfer-Encoding from responses of HTTP/1.0 and Content-Length beside chunks without an error, and does not look at either in 1xx and 204. RFC 9112 has the first treated as faulty framing (section 6.1), and forbids servers the others (sections 6.1 to 6.3).

Change: internal/httpwire checks the framing at the end of each head. A length of 0 where none is allowed is let pass, as many servers send it and it is harmless.

Why it works: the fields are seen before net/http removes them; the error reaches each path as a broken connection.

--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -84,6 +84,8 @@
 	"HTTP/1.1 600 High\r\nContent-Length: 2\r\n\r\n{}",
 	"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Zero\r\nContent-Length: 2\r\n\r\n{}",
 	"HTTP/1.1 200 OK\r\nX Odd: v\r\nContent-Length: 2\r\n\r\n{}",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nContent-Length : 1\r\nContent-Length: 2\r\n\r\n{}",
 	"HTTP/1.1 200 OK\r\nX: v\r\n X-Odd: v\r\nContent-Length: 2\r\n\r\n{}",
 }
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -41,8 +41,12 @@
 	line []byte
 	// status is the status of the current head, 0 before its status line.
 	status int
-	ended  bool
-	err    error
+	// minor is the minor version of the current head. coded says that it has a transfer coding, sized
+	// that it has a length, and lengthy that the length is not 0.
+	minor                 byte
+	coded, sized, lengthy bool
+	ended                 bool
+	err                   error
 }
 
 // check takes the next bytes of the connection. It returns an error once they are no head. Bytes
@@ -78,11 +82,12 @@
 	case h.status == 0:
 		return h.setStatus(line)
 	case len(line) > 0:
-		return checkField(line)
+		return h.addField(line)
 	}
-	h.ended = h.status/100 != 1
-	h.status = 0
-	return nil
+	err := h.checkFraming()
+	h.ended = !isInterim(h.status)
+	h.status, h.coded, h.sized, h.lengthy = 0, false, false, false
+	return err
 }
 
 // setStatus checks a status line (RFC 9112, section 4). The space before a reason that is empty may
@@ -96,6 +101,7 @@
 	if len(code) != statusDigits || bytes.ContainsFunc(code, isNoDigit) || !isText(reason) {
 		return malformed("the status line %.*q", maxQuotedBytes, line)
 	}
+	h.minor = rest[0]
 	for _, digit := range code {
 		h.status = 10*h.status + int(digit-'0')
 	}
@@ -109,13 +115,36 @@
 	return nil
 }
 
-// checkField checks a field line (RFC 9112, section 5). A folded line, which begins with white space,
+func isInterim(status int) bool { return status/100 == 1 }
+
+// addField checks a field line (RFC 9112, section 5). A folded line, which begins with white space,
 // is none: a gateway may refuse the response then (section 5.2).
-func checkField(line []byte) error {
+func (h *head) addField(line []byte) error {
 	name, value, hasColon := bytes.Cut(line, []byte(":"))
 	if !hasColon || !isToken(string(name)) || !isText(value) {
 		return malformed("the field line %.*q", maxQuotedBytes, line)
 	}
+	switch {
+	case strings.EqualFold(string(name), "Transfer-Encoding"):
+		h.coded = true
+	case strings.EqualFold(string(name), "Content-Length"):
+		h.sized, h.lengthy = true, h.lengthy || len(bytes.Trim(value, " \t0")) > 0
+	}
+	return nil
+}
+
+// checkFraming returns an error if the end of a response is not certain (RFC 9112, sections 6.1 and
+// 6.2). The length 0 is harmless where HTTP allows no length.
+func (h *head) checkFraming() error {
+	bodiless := isInterim(h.status) || h.status == http.StatusNoContent
+	switch {
+	case h.coded && h.minor == '0':
+		return malformed("HTTP/1.0 with a transfer coding")
+	case h.coded && h.sized:
+		return malformed("a transfer coding and a length")
+	case bodiless && (h.coded || h.lengthy):
+		return malformed("the status %d with a body", h.status)
+	}
 	return nil
 }
 
--- a/internal/httpwire/head_test.go
+++ b/internal/httpwire/head_test.go
@@ -32,6 +32,9 @@
 		"HTTP/1.1 599 Highest\r\n\r\n",
 		"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
 		"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: v\r\nX:\r\nX-Text:\t caf\xe9 \x80 a:b \r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\n\r\n",
+		"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "HTTP/1.0 200 OK\r\nContent-Length: 7\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 404 Not Found\r\n\r\n",
 	} {
 		for _, size := range []int{1, 2, 7, len(text)} {
@@ -55,6 +58,9 @@
 		"HTTP/1.1 200 OK\r\nX\xe9: v\r\n", "HTTP/1.1 200 OK\r\nX(Y): v\r\n", "HTTP/1.1 200 OK\r\nX{: v\r\n", "HTTP/1.1 200 OK\r\n: v\r\n",
 		"HTTP/1.1 200 OK\r\nno colon\r\n", "HTTP/1.1 200 OK\r\nX: a\x00b\r\n", "HTTP/1.1 200 OK\r\nX: a\rb: c\r\n", "HTTP/1.1 200 OK\r\nX: v\r\r\n",
 		"HTTP/1.1 103 Early Hints\r\nX Odd: v\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 7\r\ntransfer-encoding: chunked\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nContent-Length: 7\r\n\r\n", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nContent-Length: 7\r\n\r\n",
 	} {
 		for _, size := range []int{1, 2, 7, len(text)} {
 			if _, err := checkHead(text, size); !errors.Is(err, ErrMalformed) {
--- a/platformentry/malformed_test.go
+++ b/platformentry/malformed_test.go
@@ -1,6 +1,7 @@
 package platformentry_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -20,6 +21,11 @@
 	"blank-before-a-name": func(response string) string {
 		return strings.Replace(response, "\r\nContent-Type:", "\r\n X-Odd: v\r\nContent-Type:", 1)
 	},
+	"http-1.0-with-chunks": func(response string) string {
+		head, body, _ := strings.Cut(response, "\r\n\r\n")
+		head = strings.Replace(head[:strings.Index(head, "\r\nContent-Length:")], "HTTP/1.1", "HTTP/1.0", 1)
+		return fmt.Sprintf("%s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+	},
 	"blank-behind-the-name-of-the-length": func(response string) string {
 		return strings.Replace(response, "Content-Length:", "Content-Length :", 1) + "more"
 	},
