A response that switches protocols is no response

Cause: the host's client skipped 101 like an interim response, and net/http returns it as a final one. No request of a host asks for another protocol, and what follows a 101 is not HTTP/1.1 (RFC 9110, section 15.2.2).

Change: internal/httpwire refuses the status 101.

--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -108,8 +108,10 @@
 	return checkStatus(h.status)
 }
 
+// checkStatus checks a status code (RFC 9110, section 15). No request asks for another protocol, so
+// that none may follow.
 func checkStatus(status int) error {
-	if status < minStatus || status > maxStatus {
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return malformed("the status %03d", status)
 	}
 	return nil
--- a/internal/httpwire/head_test.go
+++ b/internal/httpwire/head_test.go
@@ -48,6 +48,7 @@
 func TestHeadsThatHTTPDoesNotAllow(t *testing.T) {
 	for _, text := range []string{
 		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 -00 OK\r\n", "HTTP/1.1 +20 OK\r\n",
+		"HTTP/1.1 101 Switching Protocols\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101 Switching Protocols\r\n",
 		"HTTP/1.1 20 OK\r\n", "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 2\x0000 OK\r\n", "HTTP/1.1  200 OK\r\n", "HTTP/1.1\t200 OK\r\n",
 		"HTTP/2.0 200 OK\r\n", "HTTP/0.9 200 OK\r\n", "HTTP/1.x 200 OK\r\n", "HTTP/1.10 200 OK\r\n", "http/1.1 200 OK\r\n", "ICY 200 OK\r\n",
 		"HTTP/1.1 200 O\x00K\r\n", "HTTP/1.1 200 OK\r\r\n", "HTTP/1.1\r\n", "\r\n", "\r\nHTTP/1.1 200 OK\r\n", "ok\n",
