Responses with trailers that HTTP does not allow are not whole

Cause: net/http reads trailers with the same lenient parser as heads. Control bytes and lines without a colon failed before.

Change: httpwire.Check, which each response passes, also checks the names of the trailers when the body has been read to its end.

--- a/internal/httplimit/httplimit_test.go
+++ b/internal/httplimit/httplimit_test.go
@@ -140,6 +140,21 @@
 	return l.Addr().String()
 }
 
+// Trailers that HTTP does not allow end a body with an error.
+func TestMalformedTrailers(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum, X Announced\r\n\r\n2\r\n{}\r\n0\r\n"
+	for trailers, want := range map[string]error{"X-Sum: 1\r\n": nil, "": nil, "X Odd: 1\r\n": httpwire.ErrMalformed} {
+		resp, err := open(t, serveInOrder(t, []string{response + trailers + "\r\n"}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if text, err := io.ReadAll(resp.Body); !errors.Is(err, want) || string(text) != "{}" {
+			t.Errorf("%q: body %q, error %v, want %v", trailers, text, err, want)
+		}
+		_ = resp.Body.Close()
+	}
+}
+
 // Below TLS the bytes of a head are not seen, but what net/http returns of it is checked.
 func TestMalformedResponseOverTLS(t *testing.T) {
 	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(777) }))
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -5,8 +5,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -150,14 +152,38 @@
 	return nil
 }
 
-// Check returns an error unless HTTP allows what net/http has read as the head of a response.
+// Check returns an error unless HTTP allows what net/http has read as the head of a response. Reading
+// the body to its end returns one unless HTTP allows its trailers.
 func Check(resp *http.Response) error {
-	for name := range resp.Header {
-		if !isToken(name) {
+	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+		resp.Body = trailedBody{resp.Body, resp}
+	}
+	return errors.Join(checkNames(resp.Header), checkStatus(resp.StatusCode))
+}
+
+// checkNames checks the names of fields. A field that is only announced has no values yet.
+func checkNames(fields http.Header) error {
+	for name, values := range fields {
+		if !isToken(name) && len(values) > 0 {
 			return malformed("the field name %.*q", maxQuotedBytes, name)
 		}
 	}
-	return checkStatus(resp.StatusCode)
+	return nil
+}
+
+// trailedBody is a body that trailers may follow.
+type trailedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader.
+func (b trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = cmp.Or(checkNames(b.resp.Trailer), err)
+	}
+	return n, err
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
