Responses of services state their length to callers

Cause: net/http states the length of short responses only, and ends longer ones with chunks, which HTTP/1.0 does not have.

Change: the length is stated, as the body is at hand.

--- a/adapters/gatehttp/service.go
+++ b/adapters/gatehttp/service.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 
 	"greengagespoke/domain"
 	"greengagespoke/ports"
@@ -62,6 +63,9 @@
 	for name, values := range resp.Header {
 		w.Header()[name] = values
 	}
+	if len(resp.Body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	}
 	w.WriteHeader(resp.Status)
 	_, _ = w.Write(resp.Body)
 }
