enginehttp: a response is used only if it is whole

Cause: the JSON decoder stops at the end of the value, before that of the body; the error of reading the body of a failure was dropped.

Change: the body is read to its end before it is decoded, and an error of that is an unreachable engine.

Evidence: TestResponseThatIsNotWholeIsAnUnreachableEngine failed for a success ("<nil>") and for a failure ("full") on the code before, and passes with the change.

--- a/adapters/enginehttp/client.go
+++ b/adapters/enginehttp/client.go
@@ -154,10 +154,14 @@
 	if resp.StatusCode != http.StatusOK {
 		return c.responseError(resp)
 	}
+	// The end of the body is read too, as only then the response is known to be whole.
 	if result == nil {
 		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBodyBytes))
 	} else {
-		err = json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(result)
+		var body []byte
+		if body, err = readBody(resp); err == nil {
+			err = json.Unmarshal(body, result)
+		}
 	}
 	if err != nil {
 		return c.errorf(ports.EngineUnreachable, "the answer broke off: %v", err)
@@ -165,9 +169,16 @@
 	return nil
 }
 
+func readBody(resp *http.Response) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+}
+
 // responseError returns the error of a response whose status is not 200.
 func (c *Client) responseError(resp *http.Response) error {
-	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes))
+	body, err := readBody(resp)
+	if err != nil {
+		return c.errorf(ports.EngineUnreachable, "the answer with HTTP status %d broke off: %v", resp.StatusCode, err)
+	}
 	if w, ok := parseError(body); ok {
 		w.Upstream = c.upstream
 		return w.engineError()
--- a/adapters/enginehttp/enginehttp_test.go
+++ b/adapters/enginehttp/enginehttp_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/endless"
 	"greengagespoke/ports"
 	"greengagespoke/standin/engine"
 )
@@ -164,3 +166,17 @@
 	client := NewClient(domain.Upstream{ID: "d", Address: address}, &http.Client{Transport: &http.Transport{}})
 	wantKind(t, client.Cancel(t.Context(), id), ports.EngineUnreachable)
 }
+
+// Found beside the reports: a response whose connection broke behind a JSON value was taken for whole,
+// and so was a part of an error.
+func TestResponseThatIsNotWholeIsAnUnreachableEngine(t *testing.T) {
+	for _, status := range []string{"200 OK", "429 Too Many Requests"} {
+		body := `{"kind":"full","handle":"h"}`
+		address, _ := endless.Serve(t, fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body)+1, body), "")
+		_, err := NewClient(domain.Upstream{ID: "e", Address: address}, &http.Client{}).Prefill(t.Context(), ports.PrefillRequest{})
+		var failed *ports.EngineError
+		if !errors.As(err, &failed) || failed.Kind != ports.EngineUnreachable {
+			t.Errorf("%s: %v, want an unreachable engine", status, err)
+		}
+	}
+}
