gateclient: a refusal is believed only if it is whole

Cause: the error of reading the body of a failure was dropped.

Change: it is one of a host that was not reached after the request was sent, so that the next address is tried.

Evidence: TestRefusalThatIsNotWholeIsNone failed on the code before ("overloaded" after one attempt) and passes with the change.

--- a/adapters/gateclient/client_test.go
+++ b/adapters/gateclient/client_test.go
@@ -125,3 +125,22 @@
 		})
 	}
 }
+
+// Found beside the reports: a refusal of which a part had come was believed.
+func TestRefusalThatIsNotWholeIsNone(t *testing.T) {
+	var sends atomic.Int32
+	c := fakeHost(t, func(w http.ResponseWriter, _ *http.Request) {
+		if sends.Add(1) == 1 {
+			refusal := `{"error":{"kind":"overloaded","ran":"no"}}`
+			w.Header().Set("Content-Length", strconv.Itoa(len(refusal)+1))
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = io.WriteString(w, refusal)
+			return
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	})
+	out, err := c.Complete(t.Context(), Completion{Model: "m", Prompt: "p"}, func(string) error { return nil })
+	if err != nil || out.Attempts != 2 {
+		t.Errorf("outcome %+v, error %v; want an answer in 2 attempts", out, err)
+	}
+}
--- a/adapters/gateclient/completion.go
+++ b/adapters/gateclient/completion.go
@@ -131,7 +131,10 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		data, _ := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+		data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+		if err != nil {
+			return &UnreachableError{Address: resp.Request.URL.Host, Sent: true, Err: err}
+		}
 		return refusalFromResponse(resp, data)
 	}
 	return got.read(resp, onText)
