--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 )
 
 var (
@@ -125,13 +124,13 @@
 // is none: a gateway may refuse the response then (section 5.2).
 func (h *head) addField(line []byte) error {
 	name, value, hasColon := bytes.Cut(line, []byte(":"))
-	if !hasColon || !isToken(string(name)) || !isText(value) {
+	if !hasColon || !isToken(name) || !isText(value) {
 		return malformed("the field line %.*q", maxQuotedBytes, line)
 	}
 	switch {
-	case strings.EqualFold(string(name), "Transfer-Encoding"):
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		h.coded = true
-	case strings.EqualFold(string(name), "Content-Length"):
+	case bytes.EqualFold(name, []byte("Content-Length")):
 		h.sized, h.lengthy = true, h.lengthy || len(bytes.Trim(value, " \t0")) > 0
 	}
 	return nil
@@ -191,13 +190,23 @@
 func isNoDigit(r rune) bool { return r < '0' || r > '9' }
 
 // isToken reports whether a text may be the name of a field (RFC 9110, section 5.6.2).
-func isToken(text string) bool {
-	return text != "" && !strings.ContainsFunc(text, func(r rune) bool {
-		isLetter := 'a' <= r|0x20 && r|0x20 <= 'z'
-		return !isLetter && isNoDigit(r) && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
-	})
+func isToken[T string | []byte](text T) bool {
+	for i := range len(text) {
+		if !tokenBytes[text[i]] {
+			return false
+		}
+	}
+	return len(text) > 0
 }
 
+// tokenBytes holds the bytes of tokens.
+var tokenBytes = func() (set [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		set[c] = true
+	}
+	return set
+}()
+
 // isText reports whether bytes may be in the value of a field or in a reason.
 func isText(text []byte) bool {
 	for _, c := range text {
