httpwire: a head with malformed framing stays an error

The bytes behind it could be read, had a client gone on reading the connection; none does. TestNothingIsReadOfAMalformedResponse failed on the code before (4 bytes behind a 204 with a length) and passes with the change.

--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -86,7 +86,7 @@
 		return h.addField(line)
 	}
 	err := h.checkFraming()
-	h.ended = !isInterim(h.status)
+	h.ended = err == nil && !isInterim(h.status)
 	h.status, h.coded, h.sized, h.lengthy = 0, false, false, false
 	return err
 }
