--- a/platformentry/broken_stream_test.go
+++ b/platformentry/broken_stream_test.go
@@ -49,6 +49,7 @@
 		"failure":                     {"500 Internal Server Error", "text/plain", "failed", false},
 		"no-content-with-the-seal":    {"204 No Content", stream, "", false},
 		"events-under-another-type":   {"200 OK", "application/json", numberedEvents(3, 5), false},
+		"blank-in-a-name":             {"200 OK", stream + "\r\nX Odd: v", numberedEvents(3, 5), false},
 		"half-an-event-at-its-length": {"200 OK", stream, "id: 3\ndata: a", false},
 	}
 	d := newDeployment(t, 1)
