tests: a connection that is closed with unread data has some

The stand-in could close before the client had written more than what it had read, under load: the connection then ended in order, and TestEarlyResponses missed in 3 of 16 runs, four at once.

--- a/internal/abrupt/abrupt.go
+++ b/internal/abrupt/abrupt.go
@@ -89,20 +89,30 @@
 		time.Sleep(laterDelay)
 	case EndThenDrain:
 		_, _ = io.Copy(io.Discard, conn)
-	case CloseUnread, EndThenClose:
+	case CloseUnread:
+		awaitUnread(conn)
+	case EndThenClose:
 	}
 }
 
-// awaitDelivered waits until the system of the client has all that was sent.
+// awaitDelivered waits until the system of the client has all that was sent, awaitUnread until there is
+// something that was not read.
 func awaitDelivered(conn *net.TCPConn) {
+	await(conn, unix.SIOCOUTQ, func(n int) bool { return n == 0 })
+}
+
+func awaitUnread(conn *net.TCPConn) { await(conn, unix.SIOCINQ, func(n int) bool { return n > 0 }) }
+
+// await waits until the size of a queue of the connection meets a condition.
+func await(conn *net.TCPConn, queue uint, met func(n int) bool) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
 		return
 	}
 	for range int(maxDelivery / time.Millisecond) {
-		left := 0
-		_ = raw.Control(func(fd uintptr) { left, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-		if left == 0 {
+		size := 0
+		_ = raw.Control(func(fd uintptr) { size, err = unix.IoctlGetInt(int(fd), queue) })
+		if err != nil || met(size) {
 			return
 		}
 		time.Sleep(time.Millisecond)
