--- a/adapters/upstreams/upstreams_test.go
+++ b/adapters/upstreams/upstreams_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"greengagespoke/domain"
+	"greengagespoke/internal/abrupt"
 	"greengagespoke/internal/endless"
 	"greengagespoke/ports"
 )
@@ -52,3 +53,24 @@
 		}
 	}
 }
+
+// Reported by operators: a part of a response that was reset while the request was being written was taken
+// for the whole.
+func TestResetResponseOfAService(t *testing.T) {
+	for ending, inOrder := range abrupt.Endings {
+		address := abrupt.Serve(t, func(*http.Request) (string, abrupt.Ending) { return "HTTP/1.1 200 OK\r\n\r\npart", ending })
+		set := New()
+		defer set.Close()
+		for range 3 {
+			req := ports.ServiceRequest{Method: http.MethodPost, Path: "/x", Body: make([]byte, 16<<20)}
+			got, err := set.Service(domain.Upstream{ID: "u-1", Address: address}).Call(t.Context(), req)
+			var failed *ports.ServiceError
+			switch {
+			case inOrder && (err != nil || string(got.Body) != "part"):
+				t.Errorf("%s: body %q, error %v; want the response", ending, got.Body, err)
+			case !inOrder && (!errors.As(err, &failed) || !failed.Sent):
+				t.Errorf("%s: body %q, error %v; want a call that may have run", ending, got.Body, err)
+			}
+		}
+	}
+}
