A response that came before its request is no response

Seen (found while reviewing the check of heads): bytes that a server sends as soon as a connection opens could be read by net/http before the check was told that a response is due, and then count as the response to the first request.

Cause: the hook of http.Transport runs beside the goroutine that reads the connection.

Change: httpwire.Conn notes bytes that are read before the first request, and Expect returns an error then, which RoundTrip returns in place of the response. net/http itself refuses such bytes if it sees them a moment earlier. The host's own client does not read before it has sent a request.

TestBytesBeforeTheFirstRequestAreNoResponse does not build on the code before, as Expect returned nothing.

--- a/internal/httplimit/httplimit.go
+++ b/internal/httplimit/httplimit.go
@@ -4,6 +4,7 @@
 package httplimit
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -44,9 +45,10 @@
 // RoundTrip implements http.RoundTripper. Below TLS the bytes of a head are not seen, so that only
 // what net/http returns of it is checked.
 func (t *RoundTripper) RoundTrip(req *http.Request) (*http.Response, error) {
+	var unasked error
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if conn, ok := info.Conn.(*httpwire.Conn); ok {
-			conn.Expect(MaxHeaderBytes)
+			unasked = conn.Expect(MaxHeaderBytes)
 			conn.WithholdErrors()
 		}
 	}})
@@ -55,7 +57,7 @@
 		return nil, err
 	}
 	resp.Request = req
-	if err := httpwire.Check(resp); err != nil {
+	if err := cmp.Or(unasked, httpwire.Check(resp)); err != nil {
 		_ = resp.Body.Close()
 		return nil, err
 	}
--- a/internal/httpwire/conn.go
+++ b/internal/httpwire/conn.go
@@ -19,6 +19,8 @@
 	mu sync.Mutex
 	// head is that of the response that is due, or nil.
 	head *head
+	// expected says that a response has been due, unasked that bytes came before.
+	expected, unasked bool
 
 	// writing is held while a part of a request is written. It guards writeErr, the first error of that.
 	writing  sync.Mutex
@@ -38,11 +40,16 @@
 func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
 
 // Expect says that the bytes which are read next are a response, whose heads may have so many
-// bytes. It is called before each request.
-func (c *Conn) Expect(maxHeadBytes int) {
+// bytes. It is called before each request. It returns an error if bytes were read before the first
+// one, which have not been checked: they are no response to it.
+func (c *Conn) Expect(maxHeadBytes int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.head = &head{left: maxHeadBytes}
+	c.head, c.expected = &head{left: maxHeadBytes}, true
+	if c.unasked {
+		return malformed("it came before the request")
+	}
+	return nil
 }
 
 // WithholdErrors leaves the errors of writing the next request to the reads, if its first part can be
@@ -96,6 +103,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.head == nil {
+		c.unasked = c.unasked || !c.expected && len(p) > 0
 		return nil
 	}
 	err := c.head.check(p)
--- a/internal/httpwire/conn_test.go
+++ b/internal/httpwire/conn_test.go
@@ -17,7 +17,9 @@
 			_ = far.Close()
 		}()
 		c := NewConn(near)
-		c.Expect(maxTestHead)
+		if err := c.Expect(maxTestHead); err != nil {
+			t.Fatal(err)
+		}
 		buffer := make([]byte, 100)
 		for range 2 {
 			if n, err := c.Read(buffer); n != 0 || !errors.Is(err, ErrMalformed) {
@@ -27,3 +29,16 @@
 		_ = near.Close()
 	}
 }
+
+// What is read before a request is due has not been checked, and must not count as its response.
+func TestBytesBeforeTheFirstRequestAreNoResponse(t *testing.T) {
+	near, far := net.Pipe()
+	go func() { _, _ = io.WriteString(far, "HTTP/1.1 000 Zero\r\n\r\n") }()
+	c := NewConn(near)
+	if _, err := io.ReadFull(c, make([]byte, 10)); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Expect(maxTestHead); !errors.Is(err, ErrMalformed) {
+		t.Errorf("error %v, want ErrMalformed", err)
+	}
+}
