review: show requests to leaving workers in a fleet with machines long gone

Cause: hosts never remove their rows from the table of hosts, and a fleet counts as large by all members, also gone ones. After eight replacements nine hosts read copies of the store, which may be 3.5 s late for hosts that reach the store themselves.

--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -18,17 +18,16 @@
 	"syscall"
 	"time"
 
+	"greengagespoke/internal/httplimit"
 	"greengagespoke/platform/platformtest"
 	"greengagespoke/platform/wire"
 )
 
 const (
-	// contactTime, configApplyTime and drainTime are contact_ms, config_apply_ms and drain_ms of the
+	// contactTime and drainTime are contact_ms and drain_ms of the
 	// settings.
-	contactTime     = 3000 * time.Millisecond
-	configApplyTime = 2000 * time.Millisecond
-	drainTime       = 2000 * time.Millisecond
-	graceTime       = 8 * time.Second
+	contactTime = 3000 * time.Millisecond
+	drainTime   = 2000 * time.Millisecond
 
 	startLimit = 10 * time.Second
 	hostName   = "survey.example"
@@ -37,12 +36,16 @@
 // lab holds the processes and stand-ins of one case.
 type lab struct {
 	dir, program string
-	began        time.Time
-	store        *platformtest.Store
+	// header is a header of streaming requests, as "NAME: VALUE".
+	header string
+	began  time.Time
+	store  *platformtest.Store
 	// subnet is the second and third number of the hosts' loopback addresses.
 	subnet string
 	hosts  []*host
-	nextID atomic.Int64
+	// hostCount is the number of hosts that were ever added.
+	hostCount int
+	nextID    atomic.Int64
 
 	mu     sync.Mutex
 	record *os.File
@@ -83,6 +86,7 @@
 type host struct {
 	l    *lab
 	name string
+	zone string
 	ip   string
 	// front, ready, directory and control are its addresses, link is its way to the store.
 	front, ready, directory, control string
@@ -96,8 +100,9 @@
 
 // addHost prepares a host with a link of its own to the store.
 func (l *lab) addHost(zone string) (*host, error) {
-	n := len(l.hosts) + 1
-	h := &host{l: l, name: fmt.Sprintf("edge-%s-%d", zone, n), ip: fmt.Sprintf("127.%s.%d", l.subnet, n)}
+	l.hostCount++
+	n := l.hostCount
+	h := &host{l: l, name: fmt.Sprintf("edge-%s-%d", zone, n), zone: zone, ip: fmt.Sprintf("127.%s.%d", l.subnet, n)}
 	for _, address := range []*string{&h.front, &h.ready, &h.directory, &h.control} {
 		free, err := freeAddress(h.ip)
 		if err != nil {
@@ -169,10 +174,12 @@
 	return nil
 }
 
-// awaitReady waits until the host says that it is ready and serves a request of the given kind.
+// awaitReady waits until the host says that it is ready.
 func (h *host) awaitReady() error {
+	client := newClient()
+	defer client.CloseIdleConnections()
 	for limit := time.Now().Add(startLimit); time.Now().Before(limit); time.Sleep(50 * time.Millisecond) {
-		resp, err := http.Get("http://" + h.ready + "/-/ready")
+		resp, err := client.Get("http://" + h.ready + wire.PathReady)
 		if err != nil {
 			continue
 		}
@@ -203,6 +210,11 @@
 	h.link.close()
 }
 
+// newClient returns a client that keeps its connections.
+func newClient() *http.Client {
+	return &http.Client{Transport: httplimit.Transport(&http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true})}
+}
+
 func freeAddress(ip string) (string, error) {
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
@@ -212,11 +224,13 @@
 	return listener.Addr().String(), nil
 }
 
+// hostZones are the availability zones of the hosts, in turn.
+var hostZones = []string{"dakar-a", "dakar-b", "dakar-c"}
+
 // startHosts starts hosts and waits until they are ready.
 func (l *lab) startHosts(n int) error {
-	zones := []string{"dakar-a", "dakar-b", "dakar-c"}
 	for i := range n {
-		h, err := l.addHost(zones[i%len(zones)])
+		h, err := l.addHost(hostZones[i%len(hostZones)])
 		if err != nil {
 			return err
 		}
@@ -242,9 +256,13 @@
 	sentAt time.Time
 }
 
-// send sends one request on kept connections of a client and records both.
-func (l *lab) send(client *http.Client, h *host, method, path string, deadline time.Duration, body string) answer {
-	a := answer{id: fmt.Sprintf("%016x", l.nextID.Add(1)), sentAt: time.Now()}
+// prepare returns the identifier of a request that is sent next.
+func (l *lab) prepare() answer {
+	return answer{id: fmt.Sprintf("%016x", l.nextID.Add(1)), sentAt: time.Now()}
+}
+
+// send sends a request on kept connections of a client and records it with its answer.
+func (l *lab) send(client *http.Client, h *host, a answer, method, path string, deadline time.Duration, body string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline+500*time.Millisecond)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.front+path, bytes.NewReader([]byte(body)))
@@ -269,11 +287,15 @@
 	return a
 }
 
-// load sends requests to a host at a fixed rate until stop is closed.
-func (l *lab) load(h *host, perSecond int, stop <-chan struct{}, send func(client *http.Client)) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true}}
+// load sends requests at a fixed rate until stop is closed.
+func (l *lab) load(perSecond int, stop <-chan struct{}, send func(client *http.Client)) {
+	l.loadEvery(time.Second/time.Duration(perSecond), stop, send)
+}
+
+func (l *lab) loadEvery(gap time.Duration, stop <-chan struct{}, send func(client *http.Client)) {
+	client := newClient()
 	defer client.CloseIdleConnections()
-	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	ticker := time.NewTicker(gap)
 	defer ticker.Stop()
 	var sending sync.WaitGroup
 	defer sending.Wait()
--- a/review/lab3/link.go
+++ b/review/lab3/link.go
@@ -3,24 +3,16 @@
 import (
 	"net"
 	"sync"
-	"time"
 )
 
-const (
-	// keepAliveTime is when the kernel of a host that set keep-alive probes as the program does, the
-	// first after 2 s, would have ended a connection whose other end is silent.
-	keepAliveTime = 4 * time.Second
-	// probeTime is the time between two probes that are answered.
-	probeTime = 2 * time.Second
-)
-
-// storeLink passes connections of one host on to the store. Those that are open can be made silent
-// for good, while new ones work.
+// storeLink passes connections of one host on to the store. While it is mute, nothing passes in either
+// direction, and new connections are opened but not answered: the store turns the host away.
 type storeLink struct {
 	listener net.Listener
 	target   string
 
 	mu    sync.Mutex
+	mute  bool
 	conns map[*linkConn]bool
 }
 
@@ -28,10 +20,9 @@
 type linkConn struct {
 	in, out net.Conn
 
-	mu     sync.Mutex
-	silent bool
-	// lastByte is when the host last got or sent anything.
-	lastByte time.Time
+	mu sync.Mutex
+	// lost says that something was lost on it, so that nothing passes any more.
+	lost bool
 }
 
 func newStoreLink(target string) (*storeLink, error) {
@@ -55,6 +46,20 @@
 	}
 }
 
+// setMute says whether the store turns the host away. Connections on which nothing was lost work again
+// afterwards.
+func (l *storeLink) setMute(mute bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.mute = mute
+}
+
+func (l *storeLink) isMute() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.mute
+}
+
 func (l *storeLink) accept() {
 	for {
 		in, err := l.listener.Accept()
@@ -66,7 +71,7 @@
 			_ = in.Close()
 			continue
 		}
-		c := &linkConn{in: in, out: out, lastByte: time.Now()}
+		c := &linkConn{in: in, out: out}
 		l.mu.Lock()
 		l.conns[c] = true
 		l.mu.Unlock()
@@ -77,24 +82,15 @@
 
 func (l *storeLink) pass(c *linkConn, from, to net.Conn) {
 	defer func() {
-		if !c.isSilent() {
-			c.end()
-			l.mu.Lock()
-			delete(l.conns, c)
-			l.mu.Unlock()
-		}
+		c.end()
+		l.mu.Lock()
+		delete(l.conns, c)
+		l.mu.Unlock()
 	}()
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
-		if c.isSilent() {
-			if err != nil {
-				return
-			}
-			continue // Lost on the way.
-		}
-		if n > 0 {
-			c.touch()
+		if n > 0 && !c.losesNow(l.isMute()) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -105,42 +101,15 @@
 	}
 }
 
-// silence makes all open connections silent for good. Each is reset towards the host when the
-// keep-alive probes of the program would have ended it.
-func (l *storeLink) silence() (n int) {
-	now := time.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		c.mu.Lock()
-		c.silent = true
-		last := c.lastByte
-		c.mu.Unlock()
-		if probed := now.Add(-probeTime); probed.After(last) {
-			last = probed
-		}
-		time.AfterFunc(time.Until(last.Add(keepAliveTime)), c.end)
-		n++
-	}
-	return n
-}
-
-func (c *linkConn) isSilent() bool {
+// losesNow reports whether what comes on a connection is lost.
+func (c *linkConn) losesNow(mute bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.silent
-}
-
-func (c *linkConn) touch() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastByte = time.Now()
+	c.lost = c.lost || mute
+	return c.lost
 }
 
 func (c *linkConn) end() {
-	if in, ok := c.in.(*net.TCPConn); ok {
-		_ = in.SetLinger(0)
-	}
 	_ = c.in.Close()
 	_ = c.out.Close()
 }
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -27,8 +27,8 @@
 
 // cases holds the scripted cases by name. trouble says whether the disruption is to happen.
 var cases = map[string]func(l *lab, trouble bool) (verdict, error){
-	"silent-connections": silentConnections,
-	"poisoned-streams":   poisonedStreams,
+	"gone-machines":    goneMachines,
+	"poisoned-streams": poisonedStreams,
 }
 
 func main() {
@@ -36,11 +36,12 @@
 	recordPath := flag.String("record", "record.txt", "the file for what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "cause the disruption")
 	program := flag.String("program", "target/greengagespoke", "the program of the deploy file")
+	header := flag.String("header", "", "a header of streaming requests, as NAME: VALUE")
 	flag.Parse()
-	os.Exit(play(*name, *recordPath, *program, *trouble))
+	os.Exit(play(*name, *recordPath, *program, *header, *trouble))
 }
 
-func play(name, recordPath, program string, trouble bool) int {
+func play(name, recordPath, program, header string, trouble bool) int {
 	run, known := cases[name]
 	if !known {
 		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
@@ -52,6 +53,7 @@
 		return exitFailed
 	}
 	defer l.close()
+	l.header = header
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
 	go func() {
--- a/review/lab3/poison.go
+++ b/review/lab3/poison.go
@@ -109,7 +109,7 @@
 	var sound, refused int
 	for _, h := range l.hosts {
 		loads.Go(func() {
-			l.load(h, streamsPerHost, stop, func(c *http.Client) {
+			l.load(streamsPerHost, stop, func(c *http.Client) {
 				own := rand.Uint32()
 				status := l.stream(c, h, modelPath, fmt.Sprint(own), fmt.Sprintf("5c1e07a2:200,%08x:3000", own), modelDeadline)
 				mu.Lock()
@@ -126,7 +126,8 @@
 		loads.Wait()
 	}()
 	time.Sleep(4 * time.Second)
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	client := newClient()
+	defer client.CloseIdleConnections()
 	for n := range spells * sentAtOnce {
 		wait := modelDeadline
 		if trouble {
@@ -169,7 +170,9 @@
 	req.Host = hostName
 	req.Header.Set(wire.HeaderRequestID, id)
 	req.Header.Set(wire.HeaderDeadline, fmt.Sprint(modelDeadline.Milliseconds()))
-	req.Header.Set("Greengagespoke-Model", "m")
+	if name, value, given := strings.Cut(l.header, ": "); given {
+		req.Header.Set(name, value)
+	}
 	req.Header.Set(wire.HeaderTokenCount, "3200,68")
 	req.Header.Set(wire.HeaderPromptParts, parts)
 	l.note("request %s sent to %s, POST %s", id, h.name, path)
