--- a/review/lab3/gone.go
+++ b/review/lab3/gone.go
@@ -17,10 +17,10 @@
 	// hostsGone is the number of machines that were taken away for good before the case begins.
 	hostsGone = 8
 	fleetSize = 9
-	// turnedAwayFor is how long the store turns one machine away, frozenFor how long another one is frozen.
-	turnedAwayFor = 4 * time.Second
-	frozenFor     = 3500 * time.Millisecond
-	// spells is the number of such spells, spellGap the time from the start of one to that of the next.
+	// cutFor is how long one machine is cut off from the store, frozenFor how long another one is frozen.
+	cutFor    = 4 * time.Second
+	frozenFor = 3500 * time.Millisecond
+	// spellCount is the number of such spells, spellGap the time from the start of one to that of the next.
 	spellCount = 6
 	spellGap   = 11 * time.Second
 	// requestGap is the time between two requests at each host: the sheet's 20.7 a second for the
@@ -28,9 +28,9 @@
 	requestGap = 435 * time.Millisecond
 )
 
-// goneMachines plays a fleet of nine hosts that had eight more in its history. In several spells the
-// store turns one machine away while another one is frozen, and a worker reports that it drains as a
-// spell begins. It checks DRAIN for the requests of the other seven hosts.
+// goneMachines plays a fleet of nine hosts that had eight more in its history. In several spells one
+// machine is cut off from the store while another one is frozen, and a worker reports that it drains as
+// a spell begins. It checks DRAIN for the requests of the other seven hosts.
 func goneMachines(l *lab, trouble bool) (verdict, error) {
 	var mu sync.Mutex
 	type arrival struct {
@@ -108,11 +108,11 @@
 	for n := range spellCount {
 		began := time.Now()
 		zone := hostZones[n%len(hostZones)]
-		away, frozen := l.relaysOf(zone)
+		cut, frozen := l.relaysOf(zone)
 		if trouble {
-			away.link.setMute(true)
+			cut.link.setCut(true)
 			frozen.signal(syscall.SIGSTOP)
-			l.note("the store no longer answers %s, %s is frozen", away.name, frozen.name)
+			l.note("%s is cut off from the store, %s is frozen", cut.name, frozen.name)
 		}
 		time.Sleep(50 * time.Millisecond)
 		old := serving[zone]
@@ -121,9 +121,9 @@
 		l.note("worker %s reports that it drains, acknowledged", old.ID)
 		time.Sleep(time.Until(began.Add(frozenFor)))
 		frozen.signal(syscall.SIGCONT)
-		time.Sleep(time.Until(began.Add(turnedAwayFor)))
-		away.link.setMute(false)
-		l.note("the store answers all machines, none is frozen")
+		time.Sleep(time.Until(began.Add(cutFor)))
+		cut.link.setCut(false)
+		l.note("no machine is cut off or frozen")
 		l.store.Delete(wire.TableUpstreams, old.ID)
 		old.Close()
 		delete(workers, old.ID)
@@ -133,7 +133,7 @@
 		mu.Lock()
 		for _, a := range arrivals {
 			by := takenBy[a.id]
-			if a.worker != old.ID || !a.at.After(bound) || by == away || by == frozen {
+			if a.worker != old.ID || !a.at.After(bound) || by == cut || by == frozen {
 				continue
 			}
 			late++
--- a/review/lab3/link.go
+++ b/review/lab3/link.go
@@ -5,14 +5,14 @@
 	"sync"
 )
 
-// storeLink passes connections of one host on to the store. While it is mute, nothing passes in either
-// direction, and new connections are opened but not answered: the store turns the host away.
+// storeLink passes connections of one host on to the store. While it is cut, nothing passes in either
+// direction.
 type storeLink struct {
 	listener net.Listener
 	target   string
 
 	mu    sync.Mutex
-	mute  bool
+	cut   bool
 	conns map[*linkConn]bool
 }
 
@@ -46,18 +46,18 @@
 	}
 }
 
-// setMute says whether the store turns the host away. Connections on which nothing was lost work again
-// afterwards.
-func (l *storeLink) setMute(mute bool) {
+// setCut says whether the host is cut off from the store. Connections on which nothing was lost work
+// again afterwards.
+func (l *storeLink) setCut(cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.mute = mute
+	l.cut = cut
 }
 
-func (l *storeLink) isMute() bool {
+func (l *storeLink) isCut() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.mute
+	return l.cut
 }
 
 func (l *storeLink) accept() {
@@ -90,7 +90,7 @@
 	buffer := make([]byte, 64<<10)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !c.losesNow(l.isMute()) {
+		if n > 0 && !c.losesNow(l.isCut()) {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -102,10 +102,10 @@
 }
 
 // losesNow reports whether what comes on a connection is lost.
-func (c *linkConn) losesNow(mute bool) bool {
+func (c *linkConn) losesNow(cut bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lost = c.lost || mute
+	c.lost = c.lost || cut
 	return c.lost
 }
 
