review: choose the ports of a host together

Cause: a port that was free a moment ago could be given out twice, so that a host would not start.

Change: all listeners stay open until the last port is chosen.

--- a/review/lab3/lab.go
+++ b/review/lab3/lab.go
@@ -24,8 +24,7 @@
 )
 
 const (
-	// contactTime and drainTime are contact_ms and drain_ms of the
-	// settings.
+	// contactTime and drainTime are contact_ms and drain_ms of the settings.
 	contactTime = 3000 * time.Millisecond
 	drainTime   = 2000 * time.Millisecond
 
@@ -103,12 +102,8 @@
 	l.hostCount++
 	n := l.hostCount
 	h := &host{l: l, name: fmt.Sprintf("edge-%s-%d", zone, n), zone: zone, ip: fmt.Sprintf("127.%s.%d", l.subnet, n)}
-	for _, address := range []*string{&h.front, &h.ready, &h.directory, &h.control} {
-		free, err := freeAddress(h.ip)
-		if err != nil {
-			return nil, err
-		}
-		*address = free
+	if err := freeAddresses(h.ip, &h.front, &h.ready, &h.directory, &h.control); err != nil {
+		return nil, err
 	}
 	link, err := newStoreLink(l.store.Address())
 	if err != nil {
@@ -215,13 +210,18 @@
 	return &http.Client{Transport: httplimit.Transport(&http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true})}
 }
 
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// freeAddresses sets addresses with different free ports. All listeners stay open until the last one is
+// chosen, as a port could come twice otherwise.
+func freeAddresses(ip string, addresses ...*string) error {
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = listener.Close() }()
+		*address = listener.Addr().String()
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return nil
 }
 
 // hostZones are the availability zones of the hosts, in turn.
